Serve a request end to end with separate processes

Cause: no request could be served. The path is needed before the decisions are wired into it. Ruled out: hyper-util's pooled client towards upstreams, because it hides which connection an exchange used and whether any byte has left; the connection layer of hyper gives the unsent request back, which proves not run. Change: log client, entry server on dropshot, streaming exchange over hyper, operators' server and command line, stand-ins for the platform and upstreams, scripts/run and tests with the real processes. Conclusion: a plate lookup reaches the one owner through each of three hosts, and a killed upstream of a shared pool is not seen by callers.

--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::records::{Envelope, Record, ServiceTarget};
 use crate::tables::Tables;
@@ -23,7 +24,7 @@
     pub(crate) struct State {
         /// Offset of the last folded record.
         pub(crate) folded: Offset,
-        pub(crate) tables: Tables,
+        pub(crate) tables: Arc<Tables>,
         pub(crate) tables_version: Version,
         pub(crate) service: Service,
         pub(crate) membership: Membership,
@@ -135,7 +136,7 @@
             Record::Publish { base, tables } => {
                 check_base(&self.tables_version, *base)?;
                 check_pools(tables)?;
-                self.tables = tables.clone();
+                self.tables = Arc::new(tables.clone());
                 self.tables_version = version();
                 for (name, _) in tables.pools.iter().filter(|(_, pool)| pool.is_keyed()) {
                     self.ranges.entry(name.clone()).or_default();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,7 @@
 //! The `ragworthub` binary.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ragworthub::run_command()
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,140 @@
+//! Metrics in the Prometheus text format.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::types::{Reason, RouteName, UpstreamName, Verdict};
+
+/// Upper bounds of the latency buckets, in seconds; finest around the 14 ms target.
+const LATENCY_BOUNDS: [f64; 12] = [0.001, 0.002, 0.004, 0.007, 0.01, 0.014, 0.02, 0.04, 0.1, 0.4, 1.0, 4.0];
+
+type Labels<const N: usize> = [(&'static str, String); N];
+
+/// Counters, gauges and histograms of a host.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<Labels<2>, Counter>,
+    refusals: Family<Labels<2>, Counter>,
+    retries: Family<Labels<2>, Counter>,
+    latency: Family<Labels<1>, Histogram>,
+    in_flight: Family<Labels<1>, Gauge>,
+    skipped: Counter,
+    folded: Gauge,
+    lease: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ragworthub"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS)),
+            in_flight: Family::default(),
+            skipped: Counter::default(),
+            folded: Gauge::default(),
+            lease: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests by route and verdict", self.requests.clone());
+        r.register(
+            "refusals",
+            "Refused requests by route and reason",
+            self.refusals.clone(),
+        );
+        r.register(
+            "retries",
+            "Further attempts by route and reason of the last failure",
+            self.retries.clone(),
+        );
+        r.register(
+            "upstream_latency_seconds",
+            "Time to the head of an answer",
+            self.latency.clone(),
+        );
+        r.register(
+            "upstream_in_flight",
+            "Attempts in flight by upstream",
+            self.in_flight.clone(),
+        );
+        r.register(
+            "log_records_skipped",
+            "Log records that could not be decoded",
+            self.skipped.clone(),
+        );
+        r.register(
+            "log_folded_offset",
+            "Offset of the last folded record",
+            self.folded.clone(),
+        );
+        r.register(
+            "routing_lease",
+            "1 while the host holds a routing lease",
+            self.lease.clone(),
+        );
+    }
+
+    pub(crate) fn count_request(&self, route: &RouteName, verdict: Verdict) {
+        self.requests
+            .get_or_create(&[("route", route.to_string()), ("verdict", verdict.to_string())])
+            .inc();
+    }
+
+    /// Counts a refusal; requests that no route matches count under an empty route.
+    pub(crate) fn count_refusal(&self, route: Option<&RouteName>, reason: Reason) {
+        let route = route.map(ToString::to_string).unwrap_or_default();
+        self.refusals
+            .get_or_create(&[("route", route), ("reason", reason.to_string())])
+            .inc();
+    }
+
+    pub(crate) fn count_retry(&self, route: &RouteName, reason: Reason) {
+        self.retries
+            .get_or_create(&[("route", route.to_string()), ("reason", reason.to_string())])
+            .inc();
+    }
+
+    pub(crate) fn observe_latency(&self, upstream: &UpstreamName, latency: Duration) {
+        self.latency
+            .get_or_create(&[("upstream", upstream.to_string())])
+            .observe(latency.as_secs_f64());
+    }
+
+    pub(crate) fn change_in_flight(&self, upstream: &UpstreamName, change: i64) {
+        self.in_flight
+            .get_or_create(&[("upstream", upstream.to_string())])
+            .inc_by(change);
+    }
+
+    pub(crate) fn count_skipped(&self) {
+        self.skipped.inc();
+    }
+
+    pub(crate) fn set_folded(&self, offset: u64) {
+        self.folded.set(i64::try_from(offset).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn set_lease(&self, held: bool) {
+        self.lease.set(held.into());
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
--- /dev/null
+++ b/standins/src/upstream.rs
@@ -0,0 +1,229 @@
+//! Stand-in for an upstream: grants, slots, cold start, faults, and a record of what it ran.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+type Answer = Response<BoxBody<Bytes, Infallible>>;
+
+/// Size of the pieces of a long answer, in bytes.
+const PIECE: usize = 64 << 10;
+
+/// How the stand-in behaves.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Name that answers carry.
+    pub name: String,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Time that a request takes.
+    pub service: Duration,
+    /// Requests that wait for a slot before further ones are shed.
+    pub queue: usize,
+}
+
+/// What an upstream did; tests judge promises by it.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// Requests run.
+    pub ran: u64,
+    /// Runs by idempotency key, for requests that carry one.
+    pub keys: BTreeMap<String, u64>,
+    /// Runs by request id.
+    pub requests: BTreeMap<String, u64>,
+    /// Most requests that were in progress at once.
+    pub peak: u64,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Upstream {
+    behaviour: Behaviour,
+    incarnation: u64,
+    slots: Semaphore,
+    waiting: AtomicU64,
+    busy: AtomicU64,
+    report: Mutex<Report>,
+}
+
+impl Upstream {
+    fn new(behaviour: Behaviour) -> Self {
+        let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let incarnation = u64::try_from(since.as_micros()).unwrap_or(0);
+        let report = Report {
+            incarnation,
+            ran: 0,
+            keys: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            peak: 0,
+        };
+        Self {
+            slots: Semaphore::new(behaviour.slots),
+            behaviour,
+            incarnation,
+            waiting: AtomicU64::new(0),
+            busy: AtomicU64::new(0),
+            report: Mutex::new(report),
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/.ragworthub/health") => self.text(StatusCode::OK, "ok"),
+            (&Method::GET, "/.ragworthub/report") => {
+                let report = serde_json::to_string(&*self.lock_report()).unwrap_or_default();
+                self.text(StatusCode::OK, report)
+            }
+            _ => self.run(request).await,
+        }
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Answer {
+        if self.waiting.load(Ordering::SeqCst) >= self.behaviour.queue as u64 {
+            return self.refuse("shed");
+        }
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        let permit = self.slots.acquire().await;
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        let Ok(_permit) = permit else {
+            return self.refuse("stopping");
+        };
+        let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
+        self.note_run(request.headers(), busy);
+        let answer = self.work(request).await;
+        self.busy.fetch_sub(1, Ordering::SeqCst);
+        answer
+    }
+
+    async fn work(&self, request: Request<Incoming>) -> Answer {
+        let (parts, body) = request.into_parts();
+        let parameter = |name: &str| find_parameter(parts.uri.query().unwrap_or_default(), name);
+        let received = body.collect().await.map_or(0, |b| b.to_bytes().len());
+        if parameter("crash").is_some() {
+            std::process::exit(3);
+        }
+        let extra = Duration::from_millis(parameter("sleep_ms").unwrap_or(0));
+        tokio::time::sleep(self.behaviour.service + extra).await;
+        if let Some(length) = parameter("bytes") {
+            return self.stream_bytes(length);
+        }
+        let id = parts
+            .headers
+            .get("ragworthub-request-id")
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default();
+        let body = serde_json::json!({
+            "upstream": self.behaviour.name, "method": parts.method.as_str(), "path": parts.uri.path(),
+            "received": received, "request": id,
+        });
+        self.text(StatusCode::OK, body.to_string())
+    }
+
+    fn note_run(&self, headers: &HeaderMap, busy: u64) {
+        let header = |name| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let mut report = self.lock_report();
+        report.ran += 1;
+        report.peak = report.peak.max(busy);
+        if let Some(key) = header("idempotency-key") {
+            *report.keys.entry(key).or_default() += 1;
+        }
+        if let Some(id) = header("ragworthub-request-id") {
+            // Bounds the memory of a long load run; tests of promises send fewer requests.
+            if report.requests.len() < 100_000 {
+                *report.requests.entry(id).or_default() += 1;
+            }
+        }
+    }
+
+    fn lock_report(&self) -> std::sync::MutexGuard<'_, Report> {
+        self.report.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn refuse(&self, text: &'static str) -> Answer {
+        let mut answer = self.text(StatusCode::SERVICE_UNAVAILABLE, text);
+        answer
+            .headers_mut()
+            .insert("ragworthub-not-run", "true".parse().expect("a header value"));
+        answer
+    }
+
+    fn stream_bytes(&self, length: u64) -> Answer {
+        let piece = Bytes::from(vec![b'x'; PIECE]);
+        let pieces = futures::stream::unfold(length, move |left| {
+            let now = left.min(PIECE as u64);
+            let data = piece.slice(..usize::try_from(now).unwrap_or(PIECE));
+            std::future::ready((left > 0).then(|| (Ok(Frame::data(data)), left - now)))
+        });
+        let mut answer = self.text(StatusCode::OK, "");
+        answer.headers_mut().insert("content-length", length.into());
+        *answer.body_mut() = BodyExt::boxed(StreamBody::new(pieces));
+        answer
+    }
+
+    fn text(&self, status: StatusCode, text: impl Into<Bytes>) -> Answer {
+        let mut answer = Response::new(Full::new(text.into()).boxed());
+        *answer.status_mut() = status;
+        answer
+            .headers_mut()
+            .insert("ragworthub-incarnation", self.incarnation.into());
+        answer
+    }
+}
+
+fn find_parameter(query: &str, name: &str) -> Option<u64> {
+    let value = query
+        .split('&')
+        .filter_map(|p| p.split_once('='))
+        .find(|(n, _)| *n == name)?
+        .1;
+    value.parse().ok()
+}
+
+/// Starts the stand-in and returns its address; it runs as long as the runtime.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub async fn start_upstream(listen: SocketAddr, behaviour: Behaviour) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let upstream = Arc::new(Upstream::new(behaviour));
+    tokio::spawn(accept_connections(listener, upstream));
+    Ok(address)
+}
+
+async fn accept_connections(listener: TcpListener, upstream: Arc<Upstream>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        stream.set_nodelay(true).ok();
+        let upstream = Arc::clone(&upstream);
+        let service = service_fn(move |request| {
+            let upstream = Arc::clone(&upstream);
+            async move { Ok::<_, Infallible>(upstream.serve(request).await) }
+        });
+        tokio::spawn(
+            http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service),
+        );
+    }
+}
--- /dev/null
+++ b/standins/tests/processes.rs
@@ -0,0 +1,142 @@
+//! The whole path with the real processes.
+
+mod support;
+
+use std::fmt::Write;
+
+use support::{Host, Process, get, publish, report, send, start_host, start_platform, start_upstream, wait_for};
+
+const ROUTES: &str = "
+- { name: placas, prefix: /placas/, callers: { names: [ventanilla] }, pool: placas, key: { segment: 0 } }
+- { name: padrones, prefix: /padrones/, callers: { names: [ventanilla] }, pool: padrones }
+";
+
+/// Everything that a request passes.
+struct Deployment {
+    _platform: Process,
+    hosts: Vec<Host>,
+    placas: Vec<Process>,
+    padrones: Vec<Process>,
+}
+
+fn start_pool(name: &str, ownership: &str, count: usize) -> (Vec<Process>, String) {
+    let upstreams: Vec<Process> = (0..count)
+        .map(|i| start_upstream(&format!("{name}-{i}"), "127.0.0.1:0", &[]))
+        .collect();
+    let mut yaml = format!("{name}:\n  ownership: {ownership}\n  trusted_refusals: true\n  upstreams:\n");
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let zone = ["a", "b", "c"][i % 3];
+        let address = upstream.address;
+        writeln!(
+            yaml,
+            "    {name}-{i}: {{ host: {name}-host-{i}, zone: {zone}, address: '{address}', slots: 4, connections: 100 }}"
+        )
+        .unwrap();
+    }
+    (upstreams, yaml)
+}
+
+fn start_deployment() -> Deployment {
+    let platform = start_platform();
+    let zones = ["a", "b", "c"];
+    let hosts: Vec<Host> = zones
+        .iter()
+        .map(|z| start_host(&format!("entry-{z}"), z, platform.address))
+        .collect();
+    let (placas, placas_yaml) = start_pool("placas", "fenced", 3);
+    let (padrones, padrones_yaml) = start_pool("padrones", "shared", 3);
+    publish(&hosts, ROUTES, &(placas_yaml + &padrones_yaml));
+    Deployment {
+        _platform: platform,
+        hosts,
+        placas,
+        padrones,
+    }
+}
+
+/// Guards against two hosts that route one key to different owners, and against partial answers.
+#[test]
+fn a_key_has_one_owner_through_all_hosts() {
+    let deployment = start_deployment();
+    for i in 0..20 {
+        let path = format!("/placas/P-{i}");
+        let owners: Vec<String> = deployment
+            .hosts
+            .iter()
+            .map(|host| {
+                let answer = wait_for("an answer", || {
+                    get(host.process.address, &path).filter(|a| a.status == 200)
+                });
+                assert_eq!(answer.verdict, "ran");
+                answer.json()["upstream"].as_str().unwrap().to_owned()
+            })
+            .collect();
+        assert!(owners.iter().all(|o| *o == owners[0]), "{owners:?}");
+    }
+    let ran: u64 = deployment
+        .placas
+        .iter()
+        .map(|u| report(u.address)["ran"].as_u64().unwrap())
+        .sum();
+    assert_eq!(ran, 60);
+}
+
+/// Guards against a caller that sees the loss of one upstream of a shared pool.
+#[test]
+fn a_killed_upstream_of_a_shared_pool_is_survived() {
+    let mut deployment = start_deployment();
+    deployment.padrones[0].kill();
+    for i in 0..30 {
+        let host = &deployment.hosts[i % 3];
+        let answer = get(host.process.address, &format!("/padrones/{i}")).expect("an answer");
+        assert_eq!((answer.status, answer.verdict.as_str()), (200, "ran"), "{answer:?}");
+    }
+}
+
+/// Guards against a request that is spread or run although it can't be routed.
+#[test]
+fn requests_that_cannot_be_routed_say_not_run() {
+    let deployment = start_deployment();
+    let address = deployment.hosts[0].process.address;
+    let long_key = format!("/placas/{}", "x".repeat(600));
+    let caller = [("ragworthub-caller", "ventanilla")];
+    let cases = [
+        ("/otros", &caller[..], 404, "no-route"),
+        ("/placas/", &caller, 400, "key-missing"),
+        (&long_key, &caller, 400, "key-too-long"),
+        ("/placas/P-1", &[][..], 401, "caller-missing"),
+        (
+            "/placas/P-1",
+            &[("ragworthub-caller", "otro")],
+            403,
+            "caller-not-admitted",
+        ),
+    ];
+    for (path, headers, status, reason) in cases {
+        let answer = send("GET", address, path, headers, "").unwrap();
+        assert_eq!(
+            (answer.status, answer.reason.as_str(), answer.verdict.as_str()),
+            (status, reason, "not-run")
+        );
+    }
+    assert!(deployment.placas.iter().all(|u| report(u.address)["ran"] == 0));
+}
+
+/// Guards against a planned stop that cuts a request in flight or ends with an error.
+#[test]
+fn a_planned_stop_finishes_requests_in_flight() {
+    let mut deployment = start_deployment();
+    let address = deployment.hosts[0].process.address;
+    let slow = std::thread::spawn(move || get(address, "/padrones/slow?sleep_ms=1000"));
+    wait_for("the request to run", || {
+        deployment
+            .padrones
+            .iter()
+            .any(|u| report(u.address)["ran"] == 1)
+            .then_some(())
+    });
+    deployment.hosts[0].process.signal("TERM");
+    let answer = slow.join().unwrap().expect("a whole answer");
+    assert_eq!((answer.status, answer.verdict.as_str()), (200, "ran"));
+    assert_eq!(deployment.hosts[0].process.wait_code(), Some(0));
+}
--- /dev/null
+++ b/standins/tests/support/mod.rs
@@ -0,0 +1,231 @@
+//! Starts the real processes on loopback addresses for tests.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// Generous limit for events; tests wait for events and never for fixed times.
+const LIMIT: Duration = Duration::from_mins(1);
+const CREDENTIAL: &str = "test-operators";
+
+/// A process that is killed at the end of the test.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Process {
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the process to end and returns its exit code.
+    pub fn wait_code(&mut self) -> Option<i32> {
+        wait_for("the process to end", || self.child.try_wait().unwrap()).code()
+    }
+}
+
+/// Waits until a check gives a value.
+pub fn wait_for<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = check() {
+            return found;
+        }
+        assert!(start.elapsed() < LIMIT, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn binary(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_upstream")).with_file_name(name)
+}
+
+/// Starts a stand-in, which prints its address.
+fn start_standin(name: &str, arguments: &[&str]) -> Process {
+    let mut child = Command::new(binary(name))
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap())
+        .read_line(&mut line)
+        .unwrap();
+    let address = line
+        .trim()
+        .strip_prefix("listening ")
+        .expect("an address")
+        .parse()
+        .unwrap();
+    Process { child, address }
+}
+
+pub fn start_platform() -> Process {
+    start_standin("platform", &["--listen", "127.0.0.1:0"])
+}
+
+pub fn start_upstream(name: &str, listen: &str, more: &[&str]) -> Process {
+    start_standin("upstream", &[&["--name", name, "--listen", listen], more].concat())
+}
+
+/// An entry host with the addresses that it chose.
+pub struct Host {
+    pub process: Process,
+    pub operators: SocketAddr,
+    _folder: TempDir,
+}
+
+pub fn start_host(name: &str, zone: &str, platform: SocketAddr) -> Host {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("host.yaml");
+    let settings = format!(
+        "host: {name}\nzone: {zone}\nlisten: {{ callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' }}\n\
+         platform: {{ log: '{platform}' }}\ncredentials: {{ peers: test-peers, operators: {CREDENTIAL} }}\n"
+    );
+    std::fs::write(&path, settings).unwrap();
+    let mut child = Command::new(binary("ragworthub"))
+        .args(["host", "--settings", path.to_str().unwrap()])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let listening = lines.find_map(|line| {
+        let line: Value = serde_json::from_str(&line.ok()?).ok()?;
+        (line["msg"] == "listening").then_some(line)
+    });
+    let listening = listening.expect("the host listens");
+    // Reads on, so that a full pipe never blocks the host.
+    std::thread::spawn(move || lines.for_each(drop));
+    let address = |field: &str| listening[field].as_str().unwrap().parse().unwrap();
+    let process = Process {
+        child,
+        address: address("callers"),
+    };
+    Host {
+        process,
+        operators: address("operators"),
+        _folder: folder,
+    }
+}
+
+/// An answer as an ordinary HTTP client sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub verdict: String,
+    pub reason: String,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(30)))
+        .build()
+        .into()
+}
+
+/// Sends a request; `None` if no whole answer came.
+pub fn send(method: &str, address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+    let mut request = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut answer = agent().run(request.body(body.to_owned()).unwrap()).ok()?;
+    let header = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .map_or("", |v| v.to_str().unwrap())
+            .to_owned()
+    };
+    let (verdict, reason) = (header("ragworthub-verdict"), header("ragworthub-reason"));
+    let status = answer.status().as_u16();
+    Some(Answer {
+        status,
+        verdict,
+        reason,
+        body: answer.body_mut().read_to_string().ok()?,
+    })
+}
+
+/// Sends a GET request of the caller `ventanilla`.
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    send("GET", address, path, &[("ragworthub-caller", "ventanilla")], "")
+}
+
+/// Reads what an upstream did.
+pub fn report(upstream: SocketAddr) -> Value {
+    send("GET", upstream, "/.ragworthub/report", &[], "").unwrap().json()
+}
+
+/// Runs a command of the command line against a host and returns its exit code and JSON output.
+pub fn operate(host: &Host, arguments: &[&str]) -> (i32, Value) {
+    let folder = TempDir::new().unwrap();
+    let credential = folder.path().join("credential");
+    std::fs::write(&credential, CREDENTIAL).unwrap();
+    let access = [
+        "--json",
+        "--address",
+        &host.operators.to_string(),
+        "--credential",
+        credential.to_str().unwrap(),
+    ]
+    .map(str::to_owned);
+    let output = Command::new(binary("ragworthub"))
+        .args(arguments)
+        .args(access)
+        .output()
+        .unwrap();
+    let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+    (output.status.code().unwrap(), json)
+}
+
+/// Publishes tables and waits until a host has them in force.
+pub fn publish(hosts: &[Host], routes: &str, pools: &str) {
+    let folder = TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let (routes, pools) = (write("routes.yaml", routes), write("pools.yaml", pools));
+    let (code, result) = operate(&hosts[0], &["publish", "--routes", &routes, "--pools", &pools]);
+    assert_eq!((code, &result["result"]), (0, &Value::from("applied")), "{result}");
+    for host in hosts {
+        wait_for("the tables", || {
+            let ready = get(host.process.address, "/.ragworthub/ready")?;
+            (ready.status == 200).then_some(())
+        });
+    }
+}
