Add calls between hosts over gRPC

Cause: leases, moves and credits need messages between hosts. Ruled out: protobuf messages beside the types of the decision modules, which would have to be converted on each side; tonic takes another codec, so the decision types travel as MessagePack. Not wired into the host yet. Conclusion: the wiring can follow.

--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::types::Offset;
+use crate::types::{Offset, value};
 
 /// Stream of the records that the hosts fold.
 pub(crate) const STATE_STREAM: &str = "ragworthub";
@@ -60,11 +60,13 @@
     pub(crate) records: Vec<RawRecord>,
 }
 
-/// A record as the log keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-pub(crate) struct RawRecord {
-    pub(crate) offset: Offset,
-    pub(crate) data: String,
+value! {
+    /// A record as the log keeps it.
+    #[derive(Eq)]
+    pub(crate) struct RawRecord {
+        pub(crate) offset: Offset,
+        pub(crate) data: String,
+    }
 }
 
 /// Why an append failed.
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,92 @@
+//! The gRPC server for peers.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use super::generated::peers_server::{Peers, PeersServer};
+use super::{CreditReport, Heartbeat, HeartbeatAnswer, Lends, Received, SuspectNews};
+use crate::settings::Secret;
+
+/// Largest message, in bytes; a heartbeat with the records that a peer has missed is the largest.
+const MESSAGE_MAX: usize = 16 << 20;
+/// Metadata key of the peer credential.
+pub(super) const CREDENTIAL: &str = "ragworthub-peer-credential";
+
+/// What a host does with the messages of its peers.
+pub(crate) trait PeerHandler: Send + Sync + 'static {
+    fn exchange_heartbeat(&self, message: Heartbeat) -> HeartbeatAnswer;
+    fn report_credits(&self, message: CreditReport) -> Lends;
+    fn lend_credits(&self, message: Lends);
+    fn share_suspects(&self, message: SuspectNews) -> SuspectNews;
+}
+
+struct Service<H>(Arc<H>);
+
+type Answer<T> = Result<Response<T>, Status>;
+
+#[tonic::async_trait]
+impl<H: PeerHandler> Peers for Service<H> {
+    async fn exchange_heartbeat(&self, request: Request<Heartbeat>) -> Answer<HeartbeatAnswer> {
+        Ok(Response::new(self.0.exchange_heartbeat(request.into_inner())))
+    }
+
+    async fn report_credits(&self, request: Request<CreditReport>) -> Answer<Lends> {
+        Ok(Response::new(self.0.report_credits(request.into_inner())))
+    }
+
+    async fn lend_credits(&self, request: Request<Lends>) -> Answer<Received> {
+        self.0.lend_credits(request.into_inner());
+        Ok(Response::new(Received {}))
+    }
+
+    async fn share_suspects(&self, request: Request<SuspectNews>) -> Answer<SuspectNews> {
+        Ok(Response::new(self.0.share_suspects(request.into_inner())))
+    }
+}
+
+/// Refuses callers that don't show the peer credential.
+#[derive(Clone)]
+struct CheckCredential(Secret);
+
+impl Interceptor for CheckCredential {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let given = request
+            .metadata()
+            .get(CREDENTIAL)
+            .map_or(&b""[..], |value| value.as_encoded_bytes());
+        if bool::from(given.ct_eq(self.0.0.as_bytes())) {
+            Ok(request)
+        } else {
+            Err(Status::unauthenticated("peer credential is missing or wrong"))
+        }
+    }
+}
+
+/// Starts the server for peers and returns its address and the task that runs it.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub(crate) async fn serve_peers<H: PeerHandler>(
+    listen: SocketAddr,
+    credential: Secret,
+    handler: Arc<H>,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let service = PeersServer::new(Service(handler)).max_decoding_message_size(MESSAGE_MAX);
+    let checked = InterceptedService::new(service, CheckCredential(credential));
+    let server = Server::builder().tcp_nodelay(true).add_service(checked);
+    tokio::spawn(server.serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop));
+    Ok(address)
+}
