Parse settings and tables with all faults at once

Cause: settings and tables had types but no reader and no checks. A derived deserializer stops at its first fault, so an operator would repair a file one run at a time. Ruled out: deriving twice with spanned and plain types (two definitions that can differ, and still one fault per run). Conclusion: operators see every fault of a file with its place in one run.

--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -265,8 +265,15 @@
 
     /// Tells whether new work may go to a host in a zone.
     pub(crate) fn in_service(&self, host: &HostName, zone: &Zone) -> bool {
-        let out = &self.service.out;
-        !out.contains(&ServiceTarget::Host(host.clone())) && !out.contains(&ServiceTarget::Zone(zone.clone()))
+        self.service.admits(host, zone)
+    }
+}
+
+impl Service {
+    /// Tells whether neither a host nor its zone is out of service.
+    pub(crate) fn admits(&self, host: &HostName, zone: &Zone) -> bool {
+        let out = |target| self.out.contains(&target);
+        !out(ServiceTarget::Host(host.clone())) && !out(ServiceTarget::Zone(zone.clone()))
     }
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,9 +5,15 @@
 
 use crate::types::{HostName, Span, Zone, value};
 
+mod document;
+mod reading;
+
 #[cfg(test)]
 mod tests;
 
+pub(crate) use document::{Document, Fields, Node, Value};
+pub(crate) use reading::parse_settings;
+
 value! {
     /// Settings of an entry host.
     pub(crate) struct Settings {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -6,11 +6,15 @@
 use crate::types::{Caller, HostName, PoolName, RouteName, Size, Span, UpstreamName, Zone, value};
 
 mod matching;
+mod reading;
+mod service;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use matching::{KeyError, find_caller, find_key, match_route};
+pub(crate) use reading::parse_tables;
+pub(crate) use service::{CapacityReport, PoolCapacity, UnknownTarget, check_capacity, check_service_target};
 
 value! {
     /// Both tables; a route names its pool.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -1,5 +1,6 @@
 //! Ids, key hashes, verdicts and reasons that all modules share.
 
+mod fault;
 mod ids;
 mod key;
 mod quantity;
@@ -8,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use fault::Fault;
 pub(crate) use ids::{BadName, BadNumber};
 pub(crate) use ids::{
     Caller, HostName, Incarnation, Offset, PoolName, RecordId, RequestId, RouteName, UpstreamName, Zone,
