--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -6,16 +6,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use crate::records::{Envelope, Record, ServiceTarget};
-use crate::tables::Tables;
+use crate::records::{BadRecord, Envelope, Record, ServiceTarget, decode_record};
+use crate::tables::{Tables, UnknownTarget, check_service_target};
 use crate::types::{HostName, Incarnation, Offset, PoolName, Zone, value};
 
+mod owners;
 mod ranges;
+mod snapshot;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use ranges::{RangeError, RangeInfo, RangeTable};
+use snapshot::SnapshotKey;
+pub(crate) use snapshot::{OpenSnapshot, SnapshotChunk, SnapshotProgress, SnapshotReader};
 
 value! {
     /// All that the hosts agree on.
@@ -28,7 +32,10 @@
         pub(crate) service: Service,
         pub(crate) membership: Membership,
         pub(crate) leader: Leader,
+        /// Ranges of the pools that are, or were, divided by key. A pool that is removed keeps its
+        /// ranges, so that its keys have their owners when it is published again.
         pub(crate) ranges: BTreeMap<PoolName, RangeTable>,
+        pub(crate) snapshot: SnapshotProgress,
     }
 
     /// The offset that set a versioned part of the state, and who wrote it.
@@ -66,16 +73,10 @@
     pub(crate) struct Leader {
         /// Offset of the claim; 0 before the first.
         pub(crate) term: Offset,
+        /// The host that claimed the term; `None` before the first and after its eviction.
         pub(crate) host: Option<HostName>,
         pub(crate) incarnation: Incarnation,
     }
-
-    /// A part of a snapshot.
-    pub(crate) struct SnapshotChunk {
-        /// The state without ranges, in the first part only.
-        pub(crate) state: Option<State>,
-        pub(crate) ranges: BTreeMap<PoolName, RangeTable>,
-    }
 }
 
 /// What became of a record.
@@ -100,10 +101,14 @@
     DanglingPool,
     /// A record that names a host or incarnation that is no member.
     NotMember,
+    /// A `Join` of a host that is a member, perhaps with an earlier incarnation.
+    AlreadyMember,
     /// A `Settle` for a change that is not the last one.
     NotLastChange,
     /// A `Freeze` or `Assign` whose ranges don't fit the table.
     Ranges(RangeError),
+    /// A part of a snapshot with impossible numbers, or of an older snapshot.
+    Snapshot,
     /// A record below the folded offset.
     AlreadyFolded,
 }
@@ -126,6 +131,20 @@
         self.folded = self.folded.max(offset);
     }
 
+    /// Folds the text of a record; one that can't be decoded is passed over.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the text can't be decoded. The folded offset advances all the same, so that every
+    /// host skips such a record alike.
+    pub(crate) fn apply_text(&mut self, offset: Offset, text: &str) -> Result<Outcome, BadRecord> {
+        let decoded = decode_record(text);
+        if decoded.is_err() {
+            self.skip(offset);
+        }
+        decoded.map(|envelope| self.apply(offset, &envelope))
+    }
+
     fn apply_body(&mut self, offset: Offset, envelope: &Envelope) -> Result<(), Outcome> {
         let version = || Version {
             offset,
@@ -134,12 +153,8 @@
         match &envelope.body {
             Record::Publish { base, tables } => {
                 check_base(&self.tables_version, *base)?;
-                check_pools(tables)?;
-                self.tables = tables.clone();
+                self.publish(offset, tables)?;
                 self.tables_version = version();
-                for (name, _) in tables.pools.iter().filter(|(_, pool)| pool.is_keyed()) {
-                    self.ranges.entry(name.clone()).or_default();
-                }
             }
             Record::SetService {
                 base,
@@ -147,11 +162,7 @@
                 in_service,
             } => {
                 check_base(&self.service.version, *base)?;
-                if *in_service {
-                    self.service.out.remove(target);
-                } else {
-                    self.service.out.insert(target.clone());
-                }
+                self.service.set(target, *in_service);
                 self.service.version = version();
             }
             Record::Join {
@@ -167,13 +178,7 @@
                     zone: zone.clone(),
                     address: *address,
                 };
-                // A restarted host is first evicted: replacing it in one step would let two
-                // majorities miss each other.
-                if self.membership.members.contains_key(host) {
-                    return Err(conflict(&self.membership.version));
-                }
-                self.membership.settled = self.membership.members.is_empty();
-                self.membership.members.insert(host.clone(), member);
+                self.membership.join(host, member)?;
                 self.membership.version = version();
             }
             Record::Evict {
@@ -184,59 +189,115 @@
             } => {
                 self.check_term(*term)?;
                 self.check_membership(*base)?;
-                self.check_member(host, *incarnation)?;
-                self.membership.members.remove(host);
-                self.membership.settled = self.membership.members.is_empty();
+                self.evict(host, *incarnation)?;
                 self.membership.version = version();
             }
             Record::Settle { term, change } => {
                 self.check_term(*term)?;
-                if *change != self.membership.version.offset {
-                    return Err(Outcome::Rejected(Rejection::NotLastChange));
-                }
-                self.membership.settled = true;
+                self.membership.settle(*change)?;
             }
             Record::Claim {
                 base,
                 host,
                 incarnation,
             } => {
-                if *base != self.leader.term {
-                    return Err(Outcome::StaleTerm {
-                        current: self.leader.term,
-                    });
-                }
-                self.check_member(host, *incarnation)?;
-                self.leader = Leader {
-                    term: offset,
-                    host: Some(host.clone()),
-                    incarnation: *incarnation,
-                };
+                self.claim(offset, *base, host, *incarnation)?;
             }
-            Record::Freeze { term, pool, ranges } => {
-                self.check_term(*term)?;
-                self.range_table(pool)?
-                    .freeze_ranges(offset, ranges)
-                    .map_err(reject_ranges)?;
+            Record::Freeze {
+                base,
+                term,
+                pool,
+                ranges,
+            } => {
+                self.check_leader(*term)?;
+                let table = self.range_table(pool)?;
+                table.freeze_ranges(offset, *base, ranges).map_err(reject_ranges)?;
             }
             Record::Assign { term, pool, ranges } => {
-                self.check_term(*term)?;
-                self.range_table(pool)?
-                    .assign_ranges(offset, ranges)
-                    .map_err(reject_ranges)?;
+                self.check_leader(*term)?;
+                let table = self.range_table(pool)?;
+                table.assign_ranges(offset, ranges).map_err(reject_ranges)?;
             }
-            Record::Snapshot { .. } => {}
+            Record::Snapshot {
+                term,
+                through,
+                part,
+                parts,
+                ..
+            } => {
+                self.check_leader(*term)?;
+                let key = SnapshotKey::check(offset, *term, *through, *part, *parts);
+                self.note_part(key.ok_or(Outcome::Rejected(Rejection::Snapshot))?, *part)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn publish(&mut self, offset: Offset, tables: &Tables) -> Result<(), Outcome> {
+        check_pools(tables)?;
+        for (name, _) in tables.pools.iter().filter(|(_, pool)| pool.is_keyed()) {
+            let was_shared = self.tables.pools.get(name).is_some_and(|pool| !pool.is_keyed());
+            let table = self.ranges.entry(name.clone()).or_default();
+            // Until now any upstream served any key, so the former owners may not simply go on.
+            if was_shared {
+                table.freeze_all(offset);
+            }
+        }
+        self.tables = tables.clone();
+        Ok(())
+    }
+
+    fn evict(&mut self, host: &HostName, incarnation: Incarnation) -> Result<(), Outcome> {
+        self.check_member(host, incarnation)?;
+        self.membership.members.remove(host);
+        self.membership.settled = self.membership.members.is_empty();
+        // The term stays, so that the next claim builds on it, but nobody moves ranges under it.
+        if self.leader.host.as_ref() == Some(host) {
+            self.leader.host = None;
+        }
+        Ok(())
+    }
+
+    fn claim(
+        &mut self,
+        offset: Offset,
+        base: Offset,
+        host: &HostName,
+        incarnation: Incarnation,
+    ) -> Result<(), Outcome> {
+        if base != self.leader.term {
+            return Err(self.stale_term());
         }
+        self.check_member(host, incarnation)?;
+        self.leader = Leader {
+            term: offset,
+            host: Some(host.clone()),
+            incarnation,
+        };
         Ok(())
     }
 
+    /// Checks the term of a record that an operator may also write for a leader that is lost.
     fn check_term(&self, term: Offset) -> Result<(), Outcome> {
         if term == self.leader.term && term != Offset(0) {
             Ok(())
         } else {
-            Err(Outcome::StaleTerm {
-                current: self.leader.term,
-            })
+            Err(self.stale_term())
+        }
+    }
+
+    /// Checks the term of a record that only a leader within the membership may write.
+    fn check_leader(&self, term: Offset) -> Result<(), Outcome> {
+        self.check_term(term)?;
+        match self.leader.host {
+            Some(_) => Ok(()),
+            None => Err(self.stale_term()),
+        }
+    }
+
+    fn stale_term(&self) -> Outcome {
+        Outcome::StaleTerm {
+            current: self.leader.term,
         }
     }
 
@@ -267,9 +328,58 @@
     pub(crate) fn in_service(&self, host: &HostName, zone: &Zone) -> bool {
         self.service.admits(host, zone)
     }
+
+    /// Checks that operators may take a target out of service or bring it back.
+    ///
+    /// Entry hosts and targets that are out of service already are accepted beside those of the
+    /// tables.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nothing is known of the target.
+    pub(crate) fn check_service_target(&self, target: &ServiceTarget) -> Result<(), UnknownTarget> {
+        let mut members = self.membership.members.iter();
+        let member = members.any(|(host, member)| match target {
+            ServiceTarget::Zone(zone) => member.zone == *zone,
+            ServiceTarget::Host(name) => host == name,
+        });
+        if member || self.service.out.contains(target) {
+            return Ok(());
+        }
+        check_service_target(&self.tables, target)
+    }
+}
+
+impl Membership {
+    fn join(&mut self, host: &HostName, member: Member) -> Result<(), Outcome> {
+        // A restarted host is first evicted: replacing it in one step would let two majorities
+        // miss each other.
+        if self.members.contains_key(host) {
+            return Err(Outcome::Rejected(Rejection::AlreadyMember));
+        }
+        self.settled = self.members.is_empty();
+        self.members.insert(host.clone(), member);
+        Ok(())
+    }
+
+    fn settle(&mut self, change: Offset) -> Result<(), Outcome> {
+        if change != self.version.offset {
+            return Err(Outcome::Rejected(Rejection::NotLastChange));
+        }
+        self.settled = true;
+        Ok(())
+    }
 }
 
 impl Service {
+    fn set(&mut self, target: &ServiceTarget, in_service: bool) {
+        if in_service {
+            self.out.remove(target);
+        } else {
+            self.out.insert(target.clone());
+        }
+    }
+
     /// Tells whether neither a host nor its zone is out of service.
     pub(crate) fn admits(&self, host: &HostName, zone: &Zone) -> bool {
         let out = |target| self.out.contains(&target);
--- a/src/fold/ranges.rs
+++ b/src/fold/ranges.rs
@@ -2,28 +2,29 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use super::owners::{OwnerIndex, Owners};
 use crate::records::RangeOwner;
-use crate::types::{KeyHash, KeyRange, Offset, UpstreamName, value};
+use crate::types::{KeyHash, KeyRange, Offset, UpstreamName};
 
-value! {
-    /// Ranges of the hash space with their owners.
-    ///
-    /// Ranges never overlap. Hashes outside of all ranges were never assigned.
-    #[derive(Default)]
-    pub(crate) struct RangeTable {
-        /// Owners by index, so that a range costs a few bytes.
-        owners: Vec<UpstreamName>,
-        ranges: BTreeMap<KeyHash, RangeEntry>,
-    }
-
-    #[derive(Copy)]
-    struct RangeEntry {
-        last: KeyHash,
-        epoch: Offset,
-        /// Offset of the `Freeze` that stopped the range; 0 while it is served.
-        frozen: Offset,
-        owner: u32,
-    }
+/// Ranges of the hash space with their owners.
+///
+/// Ranges never overlap. Hashes outside of all ranges were never assigned. Two tables are equal if
+/// their ranges are, whatever led to them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RangeTable {
+    owners: Owners,
+    ranges: BTreeMap<KeyHash, RangeEntry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RangeEntry {
+    last: KeyHash,
+    epoch: Offset,
+    /// Offset of the record that stopped the range; 0 while it is served.
+    frozen: Offset,
+    owner: OwnerIndex,
 }
 
 /// A range as readers see it.
@@ -33,7 +34,7 @@
     pub(crate) owner: &'a UpstreamName,
     /// Offset of the `Assign` that gave the range to its owner; the fencing token.
     pub(crate) epoch: Offset,
-    /// Offset of the `Freeze` that stopped the range; `None` while it is served.
+    /// Offset of the record that stopped the range; `None` while it is served.
     pub(crate) frozen: Option<Offset>,
 }
 
@@ -46,6 +47,8 @@
     Malformed,
     /// A `Freeze` names a hash that is not owned or already frozen.
     NotServed,
+    /// A `Freeze` names a hash that got an owner after the leader planned it.
+    AssignedSince,
     /// An `Assign` names a hash that the given `Freeze` didn't stop.
     NotFrozen,
 }
@@ -71,14 +74,23 @@
     ///
     /// # Errors
     ///
-    /// Fails without a change if a hash is not served.
-    pub(crate) fn freeze_ranges(&mut self, offset: Offset, ranges: &[KeyRange]) -> Result<(), RangeError> {
+    /// Fails without a change if a hash is not served, or got its owner after `base`. The second
+    /// makes a `Freeze` idempotent that reaches the log again after its move has ended.
+    pub(crate) fn freeze_ranges(
+        &mut self,
+        offset: Offset,
+        base: Offset,
+        ranges: &[KeyRange],
+    ) -> Result<(), RangeError> {
         check_apart(ranges.iter().copied())?;
         for &range in ranges {
             let parts = self.covering(range).ok_or(RangeError::NotServed)?;
             if parts.iter().any(|(_, entry)| entry.frozen != Offset(0)) {
                 return Err(RangeError::NotServed);
             }
+            if parts.iter().any(|(_, entry)| entry.epoch > base) {
+                return Err(RangeError::AssignedSince);
+            }
         }
         for &range in ranges {
             self.split_at(range.first);
@@ -92,6 +104,13 @@
         Ok(())
     }
 
+    /// Stops all ranges that are served.
+    pub(crate) fn freeze_all(&mut self, offset: Offset) {
+        for entry in self.ranges.values_mut().filter(|entry| entry.frozen == Offset(0)) {
+            entry.frozen = offset;
+        }
+    }
+
     /// Gives ranges to owners; entries within a range are merged.
     ///
     /// # Errors
@@ -103,26 +122,31 @@
             self.check_assignable(item)?;
         }
         for item in ranges {
-            let owner = self.intern_owner(&item.owner);
             let inside: Vec<KeyHash> = self
                 .ranges
                 .range(item.range.first..=item.range.last)
                 .map(|(&k, _)| k)
                 .collect();
             for first in inside {
-                self.ranges.remove(&first);
+                if let Some(entry) = self.ranges.remove(&first) {
+                    self.owners.release(entry.owner);
+                }
             }
-            let entry = RangeEntry {
-                last: item.range.last,
-                epoch: offset,
-                frozen: Offset(0),
-                owner,
-            };
-            self.ranges.insert(item.range.first, entry);
+            self.insert_range(item.range, offset, Offset(0), &item.owner);
         }
         Ok(())
     }
 
+    fn insert_range(&mut self, range: KeyRange, epoch: Offset, frozen: Offset, owner: &UpstreamName) {
+        let entry = RangeEntry {
+            last: range.last,
+            epoch,
+            frozen,
+            owner: self.owners.acquire(owner),
+        };
+        self.ranges.insert(range.first, entry);
+    }
+
     fn check_assignable(&self, item: &RangeOwner) -> Result<(), RangeError> {
         if item.frozen == Offset(0) {
             return if self.overlaps_any(item.range) {
@@ -171,31 +195,59 @@
         }
         let tail = *entry;
         entry.last = KeyHash(hash.0 - 1);
+        self.owners.retain(tail.owner);
         self.ranges.insert(hash, tail);
     }
 
-    fn intern_owner(&mut self, name: &UpstreamName) -> u32 {
-        let found = self.owners.iter().position(|o| o == name);
-        let index = found.unwrap_or_else(|| {
-            self.owners.push(name.clone());
-            self.owners.len() - 1
-        });
-        u32::try_from(index).expect("fewer than 2^32 upstreams")
-    }
-
     fn describe(&self, first: KeyHash, entry: &RangeEntry) -> RangeInfo<'_> {
         RangeInfo {
             range: KeyRange {
                 first,
                 last: entry.last,
             },
-            owner: &self.owners[entry.owner as usize],
+            owner: self.owners.name(entry.owner),
             epoch: entry.epoch,
             frozen: (entry.frozen != Offset(0)).then_some(entry.frozen),
         }
     }
 }
 
+impl PartialEq for RangeTable {
+    fn eq(&self, other: &Self) -> bool {
+        self.iter().eq(other.iter())
+    }
+}
+
+/// A range in the text of a state: first and last hash, epoch, frozen (0 for none), owner.
+///
+/// A list, because a map with numbers as keys can't be read from within a tagged record.
+type RangeText<N> = (KeyHash, KeyHash, Offset, Offset, N);
+
+fn range_text(info: RangeInfo<'_>) -> RangeText<&str> {
+    let KeyRange { first, last } = info.range;
+    let frozen = info.frozen.unwrap_or_default();
+    (first, last, info.epoch, frozen, info.owner.as_str())
+}
+
+impl Serialize for RangeTable {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.iter().map(range_text))
+    }
+}
+
+impl<'de> Deserialize<'de> for RangeTable {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let ranges = Vec::<RangeText<UpstreamName>>::deserialize(deserializer)?;
+        check_apart(ranges.iter().map(|&(first, last, ..)| KeyRange { first, last }))
+            .map_err(|_| de::Error::custom("ranges are crossed or overlap"))?;
+        let mut table = Self::default();
+        for (first, last, epoch, frozen, owner) in ranges {
+            table.insert_range(KeyRange { first, last }, epoch, frozen, &owner);
+        }
+        Ok(table)
+    }
+}
+
 fn check_apart(ranges: impl Iterator<Item = KeyRange>) -> Result<(), RangeError> {
     let mut sorted: Vec<KeyRange> = ranges.collect();
     sorted.sort_unstable();
--- a/src/records/mod.rs
+++ b/src/records/mod.rs
@@ -43,10 +43,13 @@
         /// Claims leadership; its offset is the new term.
         Claim { base: Offset, host: HostName, incarnation: Incarnation },
         /// Stops routing and grant renewal for ranges.
-        Freeze { term: Offset, pool: PoolName, ranges: Vec<KeyRange> },
+        ///
+        /// `base` is the offset up to which the leader had folded; a range that was assigned after
+        /// it is not stopped.
+        Freeze { base: Offset, term: Offset, pool: PoolName, ranges: Vec<KeyRange> },
         /// Gives ranges that are frozen, or were never assigned, to owners.
         Assign { term: Offset, pool: PoolName, ranges: Vec<RangeOwner> },
-        /// A part of the whole state at an offset.
+        /// A part of the text of the whole state at the offset `through`.
         Snapshot { term: Offset, through: Offset, part: u32, parts: u32, chunk: Box<SnapshotChunk> },
     }
 
@@ -63,7 +66,7 @@
     /// A range and its next owner.
     pub(crate) struct RangeOwner {
         pub(crate) range: KeyRange,
-        /// Offset of the `Freeze` that stopped the range; 0 for a range that was never assigned.
+        /// Offset of the record that stopped the range; 0 for a range that was never assigned.
         pub(crate) frozen: Offset,
         pub(crate) owner: UpstreamName,
     }
