--- a/src/ownership/mover.rs
+++ b/src/ownership/mover.rs
@@ -298,6 +298,7 @@
 
     fn freeze_records(&self, view: &View<'_>, pool: &PoolName, ranges: &[KeyRange]) -> Vec<Record> {
         let freeze = |ranges: &[KeyRange]| Record::Freeze {
+            base: view.state.folded,
             term: view.term,
             pool: pool.clone(),
             ranges: ranges.to_vec(),
