--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -22,6 +22,8 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use crate::types::Instance;
+
 pub(crate) use broker::{Broker, Capacity};
 pub(crate) use purse::{Admission, Demand, Permit, Purse, Step, Ticket};
 pub(crate) use ramp::{PoolWarmth, Ramp, Sign};
@@ -35,13 +37,6 @@
 pub(crate) const CREDIT_USE: Duration = Duration::from_millis(490);
 
 value! {
-    /// One run of an entry host.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub(crate) struct Instance {
-        pub(crate) host: HostName,
-        pub(crate) incarnation: Incarnation,
-    }
-
     /// Identifies one broker of an upstream; a purse follows the highest that it knows.
     ///
     /// A host that becomes home uses a round above any that its own purse has followed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,4 +41,6 @@
 mod peer;
 mod telemetry;
 
+pub mod measure;
+
 pub use control::run_command;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use crate::types::Instance as Identity;
+
 pub(crate) use election::{APPEND_RETRY, Election, Site};
 pub(crate) use lease::Lease;
 pub(crate) use liveness::Liveness;
@@ -29,13 +31,6 @@
 const PAUSE: Duration = Duration::from_millis(250);
 
 value! {
-    /// One run of a host.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub(crate) struct Identity {
-        pub(crate) host: HostName,
-        pub(crate) incarnation: Incarnation,
-    }
-
     /// What a host tells its peers in each question and each answer.
     #[derive(Eq)]
     pub(crate) struct Report {
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -22,6 +22,8 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use crate::types::Instance;
+
 pub(crate) use claim::{Claim, ClaimAction, ClaimMessage, ClaimOutcome, ClaimSpec};
 pub(crate) use copy::{CopyAsk, CopyEntry, CopyHolding, CopyPage, CopyState};
 pub(crate) use register::{Register, RegisterLimits, instances};
@@ -33,13 +35,6 @@
 pub(crate) const ANSWER_MAX: usize = 16 << 10;
 
 value! {
-    /// One run of an entry host.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub(crate) struct Instance {
-        pub(crate) host: HostName,
-        pub(crate) incarnation: Incarnation,
-    }
-
     /// What identifies "the same request" of a caller.
     #[derive(Eq, PartialOrd, Ord)]
     pub(crate) struct RequestKey {
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -8,6 +8,8 @@
 use thiserror::Error;
 use uuid::Uuid;
 
+use super::value;
+
 /// Longest accepted name, in bytes; a longer one is a mistake or hostile.
 const NAME_MAX: usize = 128;
 
@@ -167,3 +169,12 @@
     /// Unique id of a request of a caller.
     RequestId;
 }
+
+value! {
+    /// One run of an entry host.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub(crate) struct Instance {
+        pub(crate) host: HostName,
+        pub(crate) incarnation: Incarnation,
+    }
+}
