--- a/src/admission/broker.rs
+++ b/src/admission/broker.rs
@@ -115,6 +115,11 @@
         self.rebuild.iter().flat_map(|r| &r.unanswered)
     }
 
+    /// Tells whether credits under an earlier broker may be unknown; nothing is lent then.
+    pub(crate) fn is_rebuilding(&self) -> bool {
+        self.rebuild.is_some()
+    }
+
     /// Most slots that all hosts together may use, as far as the broker can know.
     pub(crate) fn lent(&self) -> u32 {
         self.accounts.values().map(|a| a.slots.bound()).sum()
@@ -166,6 +171,7 @@
         account.heard = now;
         account.sequence = report.sequence;
         account.isolate = report.isolate;
+        account.connections_wanted = report.connections_wanted;
         account.slots.hear(report.slots);
         account.connections.hear(report.connections);
         if !known && rebuilding {
@@ -179,7 +185,6 @@
         }
         self.take_samples(report, now);
         self.take_wants(report, now);
-        self.lend_connections(&report.from, report.connections_wanted);
         self.changed.insert(report.from.clone());
         self.serve(now);
         self.collect()
@@ -263,6 +268,7 @@
             while self.lend_next(now) {}
         }
         self.recall(now);
+        self.serve_connections();
     }
 
     /// Limit for an instance, which isolation takes to 0 or 1.
@@ -378,26 +384,47 @@
         self.connections / (2 * self.hosts)
     }
 
-    /// Lends connections up to a host's wish; recalls a loan if the host is below its share.
-    fn lend_connections(&mut self, instance: &Instance, wanted: u32) {
-        let Some(account) = self.accounts.get(instance) else {
-            return;
-        };
-        let count = account.connections.count();
-        if wanted < count {
-            return self.set_connections(instance, wanted);
+    /// Lends connections, first up to each host's share, then as loans up to its wish.
+    fn serve_connections(&mut self) {
+        let instances: Vec<Instance> = self.accounts.keys().cloned().collect();
+        for instance in &instances {
+            self.cut_connections(instance);
         }
-        if self.rebuild.is_some() || wanted == count {
+        if self.rebuild.is_some() {
             return;
         }
+        let share = self.connection_share();
+        let missing = instances.iter().map(|i| self.grant_connections(i, share)).sum();
+        if missing > 0 {
+            self.recall_loans(missing);
+        } else {
+            for instance in &instances {
+                self.grant_connections(instance, u32::MAX);
+            }
+        }
+    }
+
+    fn cut_connections(&mut self, instance: &Instance) {
+        if let Some(account) = self.accounts.get(instance)
+            && account.connections_wanted < account.connections.count()
+        {
+            self.set_connections(instance, account.connections_wanted);
+        }
+    }
+
+    /// Lends an instance what it wants up to `most` from what is free; gives what is missing.
+    fn grant_connections(&mut self, instance: &Instance, most: u32) -> u32 {
+        let Some(account) = self.accounts.get(instance) else {
+            return 0;
+        };
+        let count = account.connections.count();
+        let wanted = account.connections_wanted.min(most).saturating_sub(count);
         let lent: u32 = self.accounts.values().map(|a| a.connections.bound()).sum();
-        let spare = self.connections.saturating_sub(lent);
-        let granted = spare.min(wanted - count);
+        let granted = wanted.min(self.connections.saturating_sub(lent));
         if granted > 0 {
             self.set_connections(instance, count + granted);
         }
-        let missing = self.connection_share().min(wanted).saturating_sub(count + granted);
-        self.recall_loans(missing);
+        wanted - granted
     }
 
     fn recall_loans(&mut self, missing: u32) {
--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -77,6 +77,7 @@
     pub(crate) lent: Instant,
     pub(crate) slots: Line,
     pub(crate) connections: Line,
+    pub(crate) connections_wanted: u32,
     pub(crate) isolate: bool,
 }
 
@@ -89,6 +90,7 @@
             lent: now,
             slots: Line::default(),
             connections: Line::default(),
+            connections_wanted: 0,
             isolate: false,
         }
     }
--- a/src/admission/purse.rs
+++ b/src/admission/purse.rs
@@ -63,6 +63,13 @@
     Send(Report),
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at: Instant,
+    slots: u32,
+    connections: u32,
+}
+
 #[derive(Debug)]
 struct Waiting {
     ticket: Ticket,
@@ -92,8 +99,10 @@
     /// Most attempts that ran at once since `idle_since`.
     peak: u32,
     sequence: u64,
-    /// Reports without an answer, by sequence.
-    sent: BTreeMap<u64, Instant>,
+    /// Reports since the last answered one, by sequence.
+    sent: BTreeMap<u64, Sent>,
+    /// Last report that the broker has answered.
+    answered: u64,
     last_sent: Option<Instant>,
     /// Something that the broker has to know has changed since the last report.
     stale: bool,
@@ -127,6 +136,7 @@
             peak: 0,
             sequence: 0,
             sent: BTreeMap::new(),
+            answered: 0,
             last_sent: None,
             stale: false,
             first_sample: 0,
@@ -137,6 +147,10 @@
         }
     }
 
+    pub(crate) fn owner(&self) -> &Instance {
+        &self.owner
+    }
+
     pub(crate) fn term(&self) -> Option<&HomeTerm> {
         self.term.as_ref()
     }
@@ -282,18 +296,21 @@
         if Some(&lend.term) != self.term.as_ref() || lend.to != self.owner {
             return Vec::new();
         }
-        if let Some(sent) = self.sent.get(&lend.echo).copied() {
-            let until = sent + CREDIT_USE;
-            self.valid_until = self.valid_until.max(Some(until));
+        let sent = self.sent.get(&lend.echo).copied();
+        if let Some(sent) = sent {
+            self.valid_until = self.valid_until.max(Some(sent.at + CREDIT_USE));
+            self.answered = self.answered.max(lend.echo);
             self.sent.retain(|sequence, _| *sequence >= lend.echo);
         }
         while self.first_sample < lend.samples_seen && self.samples.pop_front().is_some() {
             self.first_sample += 1;
         }
         // An allowance is good only if the broker has heard from this host lately.
-        if self.is_valid(now) {
-            self.take_slots(lend.slots);
-            self.take_connections(lend.connections);
+        if let Some(sent) = sent
+            && self.is_valid(now)
+        {
+            self.take_slots(lend.slots, sent.slots);
+            self.take_connections(lend.connections, sent.connections);
             let older = |last: &Lend| lend.echo < last.echo && lend.term == last.term;
             if !self.last_lend.as_ref().is_some_and(older) {
                 self.last_lend = Some(lend.clone());
@@ -302,23 +319,26 @@
         self.act(now)
     }
 
-    fn take_slots(&mut self, allowance: Allowance) {
+    fn take_slots(&mut self, allowance: Allowance, reported: u32) {
         if allowance.version <= self.slots.version {
             return;
         }
-        self.stale |= allowance.count < self.slots.held;
+        let count = cap_allowance(allowance.count, self.slots.held, reported);
+        self.stale |= count != allowance.count || count < self.slots.held;
         self.slots.version = allowance.version;
-        self.slots.held = allowance.count.max(self.running);
-        self.allowed = allowance.count;
+        self.slots.held = count.max(self.running);
+        self.allowed = count;
         self.idle_since = None;
     }
 
-    fn take_connections(&mut self, allowance: Allowance) {
-        if allowance.version > self.connections.version {
-            self.stale |= allowance.count < self.connections.held;
-            self.connections.version = allowance.version;
-            self.connections.held = allowance.count;
+    fn take_connections(&mut self, allowance: Allowance, reported: u32) {
+        if allowance.version <= self.connections.version {
+            return;
         }
+        let count = cap_allowance(allowance.count, self.connections.held, reported);
+        self.stale |= count != allowance.count || count < self.connections.held;
+        self.connections.version = allowance.version;
+        self.connections.held = count;
     }
 
     /// Drops what has expired, starts what can start and reports what has changed.
@@ -365,7 +385,7 @@
             self.stale = true;
         }
         let oldest = now.checked_sub(CREDIT_USE);
-        self.sent.retain(|_, at| oldest.is_none_or(|oldest| *at > oldest));
+        self.sent.retain(|_, sent| oldest.is_none_or(|oldest| sent.at > oldest));
     }
 
     fn refuse_late(&mut self, now: Instant) -> Vec<Step> {
@@ -429,14 +449,19 @@
             || !self.queue.is_empty()
             || !self.samples.is_empty()
             || self.connections_wanted > 0;
-        let resend = !self.sent.is_empty() && quiet >= RESEND && attached;
+        let resend = self.answered < self.sequence && quiet >= RESEND && attached;
         let due = self.stale || resend || (attached && quiet >= KEEP_ALIVE);
         if !due {
             return None;
         }
         self.stale = false;
         self.sequence += 1;
-        self.sent.insert(self.sequence, now);
+        let sent = Sent {
+            at: now,
+            slots: self.slots.held,
+            connections: self.connections.held,
+        };
+        self.sent.insert(self.sequence, sent);
         self.last_sent = Some(now);
         Some(Report {
             upstream: self.upstream.clone(),
@@ -470,3 +495,11 @@
         lanes.collect()
     }
 }
+
+/// Limits an allowance to what is held now and what it adds to the holding that it answers.
+///
+/// Without this, an allowance on its way would give back credits that have expired or gone back
+/// since, and that another host may hold by now.
+fn cap_allowance(count: u32, held: u32, reported: u32) -> u32 {
+    count.min(held + count.saturating_sub(reported))
+}
