--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -19,7 +19,7 @@
     ),
     ("report_credits", "ReportCredits", "CreditReport", "Lends"),
     ("lend_credits", "LendCredits", "Lends", "Received"),
-    ("share_suspects", "ShareSuspects", "SuspectNews", "SuspectNews"),
+    ("share_suspects", "ShareSuspects", "SuspectNews", "Received"),
 ];
 
 fn main() {
--- a/src/choice/suspects.rs
+++ b/src/choice/suspects.rs
@@ -337,7 +337,9 @@
         match end {
             RunEnd::Completed => {
                 let record = self.records.get_mut(&fingerprint);
-                record.into_iter().for_each(|r| r.clear_all(now));
+                if let Some(record) = record {
+                    record.clear_all(now);
+                }
             }
             RunEnd::Broken => self.suspect(fingerprint, on, alone, now),
             RunEnd::Other => {}
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -359,7 +359,7 @@
                 age: Duration::from_secs(age),
                 alone: bits & 1 > 0,
                 confirmed: bits & 2 > 0,
-                cleared: bits & 12 == 12,
+                cleared: bits & 0b1100 == 0b1100,
             };
             let crashes = BTreeMap::from([(crash(on), info)]);
             SuspectMessage::Share(Suspect { fingerprint: Fingerprint(1), crashes })
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -278,6 +278,7 @@
         folded,
         ..
     } = status;
+    say!("confirms leases of peers {}", status.confirms_peers);
     say!("host {host}, availability zone {zone}");
     say!("ready {ready}, draining {draining}, requests in flight {in_flight}");
     say!("log folded to {folded}, tables version {}", status.tables_version);
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -44,6 +44,9 @@
         pub(crate) zone: String,
         pub(crate) ready: bool,
         pub(crate) draining: bool,
+        /// The host has run long enough to confirm the leases of others, so that service survives
+        /// an outage of the log.
+        pub(crate) confirms_peers: bool,
         pub(crate) in_flight: u32,
         pub(crate) folded: Offset,
         pub(crate) tables_version: Offset,
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use slog::info;
 use subtle::ConstantTimeEq;
+use tokio::time::Instant;
 
 use super::messages::{Change, ChangeRequest, ChangeResult, Document, OwnedRange, Status};
 use crate::fold::{Outcome, State};
@@ -117,13 +118,16 @@
 }
 
 fn describe_host(shared: &Shared) -> Status {
+    let now = Instant::now();
+    let ready = shared.is_ready();
     let state = shared.state();
     let members = &state.membership.members;
     Status {
         host: shared.settings.host.to_string(),
         zone: shared.settings.zone.to_string(),
-        ready: shared.is_ready(),
+        ready,
         draining: shared.is_draining(),
+        confirms_peers: shared.agreement.confirms_peers(now, &state),
         in_flight: shared.in_flight(),
         folded: state.folded,
         tables_version: state.tables_version.offset,
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,403 @@
+//! Attempts of a request at upstreams.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dropshot::Body;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use tokio::time::{Instant, timeout_at};
+
+use super::call::Call;
+use super::delivery::Delivery;
+use super::headers::{DEADLINE, EPOCH, INCARNATION, KEY_HASH, NOT_RUN, REQUEST_ID, strip_headers};
+use super::refusal::{Refusal, mark_answer};
+use crate::admission::{Demand, Outcome};
+use crate::choice::{Failure as RetryQuestion, Fingerprint, RunEnd};
+use crate::exchange::{AnswerBody, ConnectLimits, Failure, ForwardBody, Target, run_attempt};
+use crate::host::{Shared, Slot, WatchedRun, acquire_alone, acquire_slot, note_restart};
+use crate::ownership::{Denied, Pass};
+use crate::types::{Incarnation, Reason, UpstreamName, Verdict};
+
+/// Longest wait for a new connection; one takes about 1 ms.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// A connection idle for longer is closed.
+const IDLE_LIMIT: Duration = Duration::from_mins(1);
+
+/// Time between two probes of an upstream that refused a connection.
+const UPSTREAM_PROBE: Duration = Duration::from_millis(200);
+/// Probes after which a request finds out itself whether the upstream is back; it may have left
+/// the tables meanwhile.
+const UPSTREAM_PROBES: u32 = 300;
+
+/// A request that is ready to be sent.
+pub(super) struct Outgoing {
+    pub(super) parts: Parts,
+    pub(super) body: ForwardBody,
+    pub(super) fingerprint: Fingerprint,
+    /// The request may have crashed upstreams and runs with nothing beside it.
+    pub(super) alone: bool,
+}
+
+/// An attempt that got no answer to deliver.
+struct Failed {
+    refusal: Refusal,
+    /// The body, if nothing of it has left.
+    unsent: Option<ForwardBody>,
+    upstream: Option<UpstreamName>,
+}
+
+impl Failed {
+    fn before_sending(reason: Reason, body: ForwardBody) -> Self {
+        Self {
+            refusal: Refusal::not_run(reason),
+            unsent: Some(body),
+            upstream: None,
+        }
+    }
+}
+
+/// Sends a request until an upstream answers it or no further attempt is allowed.
+///
+/// # Errors
+///
+/// Gives the refusal with what is known of all attempts together.
+pub(super) async fn forward_request(
+    shared: &Arc<Shared>,
+    call: &Call,
+    mut outgoing: Outgoing,
+) -> Result<Response<Body>, Refusal> {
+    strip_headers(&mut outgoing.parts.headers);
+    let mut tried = BTreeSet::new();
+    let mut verdict = Verdict::NotRun;
+    for attempts in 1.. {
+        let copy = outgoing.body.replay();
+        let body = std::mem::replace(&mut outgoing.body, ForwardBody::empty());
+        let failed = match attempt(shared, call, &outgoing, body, &tried).await {
+            Ok(answer) => return Ok(answer),
+            Err(failed) => failed,
+        };
+        // An earlier attempt that may have run is not undone by a later one that did not.
+        verdict = verdict.max(failed.refusal.verdict);
+        let refusal = Refusal {
+            verdict,
+            reason: failed.refusal.reason,
+        };
+        let Some(body) = failed.unsent.or(copy) else {
+            return Err(refusal);
+        };
+        // A wait that ended without a send is no reason for another one.
+        let Some(upstream) = failed.upstream else {
+            return Err(refusal);
+        };
+        tried.insert(upstream);
+        let question = RetryQuestion {
+            verdict: failed.refusal.verdict,
+            idempotent: call.idempotent,
+            attempts,
+            deadline: call.deadline,
+        };
+        shared
+            .policies
+            .spend_retry(&question, Instant::now())
+            .map_err(|_| refusal)?;
+        shared.metrics.count_retry(&call.route().name, refusal.reason);
+        outgoing.body = body;
+    }
+    unreachable!("the retry budget ends the attempts")
+}
+
+async fn attempt(
+    shared: &Arc<Shared>,
+    call: &Call,
+    outgoing: &Outgoing,
+    body: ForwardBody,
+    tried: &BTreeSet<UpstreamName>,
+) -> Result<Response<Body>, Failed> {
+    let (slot, pass) = match reserve(shared, call, outgoing.alone, tried).await {
+        Ok(reserved) => reserved,
+        Err(reason) => return Err(Failed::before_sending(reason, body)),
+    };
+    let upstream = slot.upstream().clone();
+    let Some(target) = find_target(call, &upstream) else {
+        if let Some(pass) = &pass {
+            shared.agreement.with_gate(|gate| gate.end(pass));
+        }
+        return Err(Failed::before_sending(Reason::NoUpstream, body));
+    };
+    let request = build_request(call, &outgoing.parts, pass.as_ref(), body);
+    let run = WatchedRun::start(shared, outgoing.fingerprint, &upstream, target.address, outgoing.alone);
+    let delivery = Delivery::start(shared, call, slot, run, pass);
+    match send(shared, call, &target, request, delivery).await {
+        Ok(answer) => take_answer(shared, call, &upstream, answer).await,
+        Err(failure) => Err(take_failure(shared, call, &target, failure)),
+    }
+}
+
+/// Reserves a slot of the upstream that gets the request, and the right to route its key.
+async fn reserve(
+    shared: &Arc<Shared>,
+    call: &Call,
+    alone: bool,
+    tried: &BTreeSet<UpstreamName>,
+) -> Result<(Slot, Option<Pass>), Reason> {
+    let demand = Demand {
+        priority: call.route().priority,
+        caller: call.caller.clone(),
+        deadline: call.deadline,
+    };
+    loop {
+        let upstream = choose_upstream(shared, call, tried).await?;
+        let slot = if alone {
+            acquire_alone(shared, &upstream, &demand).await?
+        } else {
+            acquire_slot(shared, &upstream, &demand).await?
+        };
+        let Some(hash) = call.key else { return Ok((slot, None)) };
+        let begun = {
+            let state = shared.state();
+            shared
+                .agreement
+                .with_gate(|gate| gate.begin(Instant::now(), &state, call.pool_name(), hash))
+        };
+        match begun {
+            Ok(pass) if pass.owner == upstream => return Ok((slot, Some(pass))),
+            // The key moved while the request waited for the slot.
+            Ok(pass) => shared.agreement.with_gate(|gate| gate.end(&pass)),
+            Err(Denied::Frozen) => {}
+            Err(Denied::NoLease) => return Err(Reason::NoLease),
+            Err(Denied::NoOwner) => return Err(Reason::NoOwner),
+        }
+    }
+}
+
+async fn choose_upstream(
+    shared: &Arc<Shared>,
+    call: &Call,
+    tried: &BTreeSet<UpstreamName>,
+) -> Result<UpstreamName, Reason> {
+    if call.key.is_some() {
+        return wait_for_owner(shared, call).await;
+    }
+    let state = shared.state();
+    let pool = call.pool();
+    let serving = |name: &UpstreamName| {
+        let upstream = &pool.upstreams[name];
+        state.in_service(&upstream.host, &upstream.zone) && !shared.agreement.is_leaving(&upstream.host)
+    };
+    let now = Instant::now();
+    let fresh = |name: &UpstreamName| !tried.contains(name) && serving(name);
+    let name = call.pool_name();
+    let picked = shared.policies.pick(name, pool, fresh, now);
+    let picked = picked.or_else(|| shared.policies.pick(name, pool, serving, now));
+    picked.ok_or(Reason::NoUpstream)
+}
+
+/// Waits while the key moves, until its next owner is known.
+async fn wait_for_owner(shared: &Arc<Shared>, call: &Call) -> Result<UpstreamName, Reason> {
+    let mut folded = shared.folded.subscribe();
+    let mut waiting = None;
+    loop {
+        match find_owner(shared, call) {
+            Some(Ok(owner)) => return Ok(owner),
+            Some(Err(reason)) => return Err(reason),
+            None => {}
+        }
+        if waiting.is_none() {
+            waiting = Some(shared.wait_for_move().ok_or(Reason::QueueFull)?);
+        }
+        if timeout_at(call.deadline, folded.changed()).await.is_err() {
+            return Err(Reason::NoOwner);
+        }
+    }
+}
+
+/// The owner of a request's key; `None` while the key moves.
+fn find_owner(shared: &Shared, call: &Call) -> Option<Result<UpstreamName, Reason>> {
+    let state = shared.state();
+    let hash = call.key?;
+    let Some(info) = state
+        .ranges
+        .get(call.pool_name())
+        .and_then(|table| table.find_range(hash))
+    else {
+        return Some(Err(Reason::NoOwner));
+    };
+    if info.frozen.is_some() {
+        return None;
+    }
+    let (owner, range) = (info.owner.clone(), info.range);
+    shared
+        .agreement
+        .note_load(call.pool_name(), range, hash, Instant::now());
+    Some(Ok(owner))
+}
+
+fn find_target(call: &Call, name: &UpstreamName) -> Option<Target> {
+    let upstream = call.pool().upstreams.get(name)?;
+    let limits = ConnectLimits {
+        connect: CONNECT_LIMIT,
+        open: upstream.connections,
+        idle: IDLE_LIMIT,
+    };
+    let address: SocketAddr = upstream.address;
+    Some(Target {
+        upstream: name.clone(),
+        address,
+        limits,
+        idempotent: call.idempotent,
+    })
+}
+
+fn build_request(call: &Call, parts: &Parts, pass: Option<&Pass>, body: ForwardBody) -> Request<ForwardBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = origin_form(&parts.uri);
+    let headers = request.headers_mut();
+    *headers = parts.headers.clone();
+    let value = |text: String| HeaderValue::from_str(&text).expect("numbers and ids are header values");
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    headers.insert(DEADLINE, value(left.as_millis().to_string()));
+    headers.insert(REQUEST_ID, value(call.id.to_string()));
+    if let (Some(pass), Some(hash)) = (pass, call.key) {
+        headers.insert(EPOCH, value(pass.epoch.to_string()));
+        headers.insert(KEY_HASH, value(hash.to_string()));
+    }
+    request
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"));
+    Uri::from(path)
+}
+
+/// Runs the exchange until the head of the answer, the deadline, or an abort of the move.
+async fn send(
+    shared: &Arc<Shared>,
+    call: &Call,
+    target: &Target,
+    request: Request<ForwardBody>,
+    delivery: Delivery,
+) -> Result<Response<AnswerBody<Delivery>>, Failure<Option<Delivery>>> {
+    let token = delivery.aborted();
+    let exchange = run_attempt(&shared.connector, target, request, call.deadline, delivery);
+    let result = match token {
+        None => exchange.await,
+        Some(token) => tokio::select! {
+            result = exchange => result,
+            () = token.cancelled() => {
+                let (verdict, reason) = (Verdict::MayHaveRun, Reason::MoveAborted);
+                return Err(Failure { verdict, reason, request: None, guard: None, probe: false });
+            }
+        },
+    };
+    result.map_err(|f| Failure {
+        verdict: f.verdict,
+        reason: f.reason,
+        request: f.request,
+        guard: Some(f.guard),
+        probe: f.probe,
+    })
+}
+
+async fn take_answer(
+    shared: &Arc<Shared>,
+    call: &Call,
+    upstream: &UpstreamName,
+    answer: Response<AnswerBody<Delivery>>,
+) -> Result<Response<Body>, Failed> {
+    let (mut parts, mut body) = answer.into_parts();
+    let incarnation = find_incarnation(&parts.headers);
+    if let Some(before) = incarnation.and_then(|i| shared.policies.note_incarnation(upstream, i)) {
+        note_restart(shared, upstream, before);
+    }
+    let refused = parts.headers.get(NOT_RUN).is_some_and(|value| value == "true");
+    if refused && call.pool().trusted_refusals {
+        let granted = parts.status != http::StatusCode::MISDIRECTED_REQUEST;
+        let reason = if granted {
+            Reason::UpstreamShed
+        } else {
+            Reason::GrantRefused
+        };
+        let outcome = if granted { Outcome::Shed } else { Outcome::Cancelled };
+        body.guard().note_head(outcome, incarnation);
+        // The rest of the short answer is read, so that the connection can be used again.
+        body.drain().await;
+        return Err(Failed {
+            refusal: Refusal::not_run(reason),
+            unsent: None,
+            upstream: Some(upstream.clone()),
+        });
+    }
+    body.guard().note_head(Outcome::Answered, incarnation);
+    strip_headers(&mut parts.headers);
+    mark_answer(&mut parts.headers, call.id, Verdict::Ran);
+    body.hold_head().await;
+    Ok(Response::from_parts(parts, Body::wrap(body)))
+}
+
+fn find_incarnation(headers: &HeaderMap) -> Option<Incarnation> {
+    headers.get(INCARNATION)?.to_str().ok()?.parse().ok()
+}
+
+fn take_failure(shared: &Arc<Shared>, call: &Call, target: &Target, failure: Failure<Option<Delivery>>) -> Failed {
+    let Failure {
+        verdict,
+        reason,
+        request,
+        guard,
+        probe,
+    } = failure;
+    if let Some(mut delivery) = guard {
+        let (outcome, end) = match reason {
+            Reason::ConnectionLost => (Outcome::Failed, RunEnd::Broken),
+            Reason::BodyIncomplete | Reason::BodyTooLarge => (Outcome::Cancelled, RunEnd::Other),
+            // A connection that may have gone silent says nothing about the upstream yet.
+            _ if probe => (Outcome::Cancelled, RunEnd::Other),
+            _ => (Outcome::Failed, RunEnd::Other),
+        };
+        delivery.note_failure(outcome, end);
+    }
+    if reason == Reason::ConnectFailed && shared.policies.note_refusing(&target.upstream) {
+        tokio::spawn(await_upstream(Arc::clone(shared), target.clone()));
+    }
+    if probe {
+        tokio::spawn(probe_connections(
+            Arc::clone(shared),
+            target.clone(),
+            call.route().name.clone(),
+        ));
+    }
+    let unsent = request.map(Request::into_body);
+    Failed {
+        refusal: Refusal { verdict, reason },
+        unsent,
+        upstream: Some(target.upstream.clone()),
+    }
+}
+
+/// Gives an upstream that refused a connection no new work until it answers.
+async fn await_upstream(shared: Arc<Shared>, target: Target) {
+    for _ in 0..UPSTREAM_PROBES {
+        tokio::time::sleep(UPSTREAM_PROBE).await;
+        if shared.calls.is_answering(target.address).await {
+            break;
+        }
+    }
+    shared.policies.note_accepting(&target.upstream);
+}
+
+/// Finds out on a new connection whether the upstream or only old connections are silent.
+async fn probe_connections(shared: Arc<Shared>, target: Target, route: crate::types::RouteName) {
+    let answered = shared.calls.is_answering(target.address).await;
+    let connections = shared.connector.connections(&target.upstream);
+    for _ in 0..connections.note_probe(answered) {
+        shared.metrics.count_refusal(Some(&route), Reason::ConnectionSilent);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,8 +1,14 @@
 //! The callers' side: HTTP server and request path.
 
+mod call;
+mod delivery;
+mod forward;
 mod headers;
 mod refusal;
 mod request;
 mod server;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use server::start_entry;
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -22,6 +22,14 @@
             reason,
         }
     }
+
+    /// A refusal of a request that may have crashed upstreams when it was sent before.
+    pub(crate) fn of_suspect(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+        }
+    }
 }
 
 /// Builds the answer of a refusal.
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -6,12 +6,27 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use thiserror::Error;
 use tokio::time::Instant;
 
 use super::connection::{Connection, Connections};
 
+/// Bytes of an undelivered answer that are read to keep its connection; more costs less to close.
+const DRAIN_MAX: usize = 64 << 10;
+
+/// Why an answer's body ends early.
+#[derive(Debug, Display, Error)]
+pub(crate) enum AnswerError {
+    /// the upstream's connection broke: {0}
+    Upstream(hyper::Error),
+    /// the key moved to another owner before the answer was complete
+    Aborted,
+}
+
 /// How an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Ended {
@@ -28,6 +43,9 @@
     /// Tells when the end of the answer may be delivered.
     fn poll_release(&mut self, context: &mut Context<'_>) -> Poll<()>;
 
+    /// Tells when the answer has to end although the upstream is not done.
+    fn poll_abort(&mut self, context: &mut Context<'_>) -> Poll<()>;
+
     /// Hears that the upstream has sent everything; its slot is free.
     fn upstream_done(&mut self);
 
@@ -71,6 +89,24 @@
         body
     }
 
+    pub(crate) fn guard(&mut self) -> &mut G {
+        &mut self.guard
+    }
+
+    /// Reads the rest of an answer that is not delivered, up to [`DRAIN_MAX`].
+    pub(crate) async fn drain(&mut self) {
+        let mut left = DRAIN_MAX;
+        while self.stage == Stage::Streaming {
+            match self.incoming.frame().await {
+                Some(Ok(frame)) if frame.data_ref().map_or(0, Bytes::len) <= left => {
+                    left -= frame.data_ref().map_or(0, Bytes::len);
+                }
+                Some(_) => return,
+                None => self.finish_upstream(),
+            }
+        }
+    }
+
     /// Waits until the end may be delivered, if the answer has no content.
     ///
     /// Without content the head is the end, and nothing after it could be held.
@@ -100,11 +136,15 @@
 
 impl<G: AnswerGuard> Body for AnswerBody<G> {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
-    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         let this = self.get_mut();
         if this.stage == Stage::Streaming {
+            if this.guard.poll_abort(context).is_ready() {
+                this.finish(Ended::Truncated);
+                return Poll::Ready(Some(Err(AnswerError::Aborted)));
+            }
             match ready!(Pin::new(&mut this.incoming).poll_frame(context)) {
                 Some(Ok(frame)) => {
                     if !this.incoming.is_end_stream() {
@@ -115,7 +155,7 @@
                 }
                 Some(Err(error)) => {
                     this.finish(Ended::Truncated);
-                    return Poll::Ready(Some(Err(error)));
+                    return Poll::Ready(Some(Err(AnswerError::Upstream(error))));
                 }
                 None => this.finish_upstream(),
             }
--- a/src/exchange/attempt.rs
+++ b/src/exchange/attempt.rs
@@ -19,8 +19,8 @@
     pub(crate) upstream: UpstreamName,
     pub(crate) address: SocketAddr,
     pub(crate) limits: ConnectLimits,
-    /// Use a connection from the pool if there is one.
-    pub(crate) reuse: bool,
+    /// A connection that has been idle for long may carry the request.
+    pub(crate) idempotent: bool,
 }
 
 /// Why an attempt got no answer.
@@ -31,8 +31,8 @@
     /// The request, if nothing of it has left.
     pub(crate) request: Option<Request<ForwardBody>>,
     pub(crate) guard: G,
-    /// When the connection was opened, if one was used.
-    pub(crate) opened: Option<Instant>,
+    /// The connection may have gone silent; a probe on a new one tells.
+    pub(crate) probe: bool,
 }
 
 /// Sends a request and waits for the head of the answer until the deadline.
@@ -48,10 +48,7 @@
     guard: G,
 ) -> Result<Response<AnswerBody<G>>, Failure<G>> {
     let connections = connector.connections(&target.upstream);
-    let mut pooled = target
-        .reuse
-        .then(|| connections.take_idle(Instant::now(), &target.limits))
-        .flatten();
+    let mut pooled = connections.take_idle(Instant::now(), &target.limits, target.idempotent);
     loop {
         let from_pool = pooled.is_some();
         let mut connection = match pooled.take() {
@@ -65,14 +62,15 @@
                         reason,
                         request,
                         guard,
-                        opened: None,
+                        probe: false,
                     });
                 }
             },
         };
-        let opened = connection.opened;
+        let started = Instant::now();
         match send(&mut connection, request, deadline).await {
             Ok(head) => {
+                connections.note_answer(connection.id(), Instant::now());
                 let (parts, incoming) = head.into_parts();
                 let body = AnswerBody::new(incoming, guard, connections, connection);
                 return Ok(Response::from_parts(parts, body));
@@ -86,17 +84,19 @@
                     reason,
                     request: Some(*unsent),
                     guard,
-                    opened: Some(opened),
+                    probe: false,
                 });
             }
             Err(SendError::Sent(reason)) => {
                 let verdict = Verdict::MayHaveRun;
+                let late = reason == Reason::DeadlineExceeded;
+                let probe = late && connections.note_timeout(connection.id(), started, Instant::now());
                 return Err(Failure {
                     verdict,
                     reason,
                     request: None,
                     guard,
-                    opened: Some(opened),
+                    probe,
                 });
             }
         }
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::forward::ForwardBody;
+use crate::choice::{ConnectionId, Silence, SilenceStep};
 use crate::types::UpstreamName;
 
 /// Idle time after which TCP asks whether the other end is still there.
@@ -56,6 +57,16 @@
 pub(crate) struct Connections {
     idle: Mutex<Vec<Connection>>,
     open: AtomicU32,
+    silence: Mutex<SilenceTable>,
+}
+
+/// Which connections have gone silent.
+#[derive(Debug, Default)]
+struct SilenceTable {
+    silence: Silence,
+    next: u64,
+    /// Connections in use that are not to be used again.
+    retired: BTreeSet<ConnectionId>,
 }
 
 /// An open connection that no exchange uses.
@@ -66,16 +77,28 @@
     used: Instant,
     /// Whether closing sends a reset, which discards what the upstream has not read.
     pub(crate) reset: Arc<AtomicBool>,
-    _slot: OpenSlot,
+    slot: OpenSlot,
+}
+
+impl Connection {
+    pub(crate) fn id(&self) -> ConnectionId {
+        self.slot.id
+    }
 }
 
 /// Counts an open connection while it lives.
 #[derive(Debug)]
-struct OpenSlot(Arc<Connections>);
+struct OpenSlot {
+    id: ConnectionId,
+    connections: Arc<Connections>,
+}
 
 impl Drop for OpenSlot {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.connections.open.fetch_sub(1, Ordering::Relaxed);
+        let mut table = lock(&self.connections.silence);
+        table.silence.close(self.id);
+        table.retired.remove(&self.id);
     }
 }
 
@@ -101,13 +124,23 @@
 
 impl Connections {
     /// Takes the ready connection that was used last, so that spare ones grow old and are closed.
-    pub(crate) fn take_idle(&self, now: Instant, limits: &ConnectLimits) -> Option<Connection> {
+    pub(crate) fn take_idle(&self, now: Instant, limits: &ConnectLimits, idempotent: bool) -> Option<Connection> {
+        let expired = self.drop_expired(now, limits);
+        drop(expired);
+        let table = lock(&self.silence);
         let mut idle = lock(&self.idle);
-        idle.retain(|c| !c.sender.is_closed() && now.saturating_duration_since(c.used) < limits.idle);
-        let index = idle.iter().rposition(|c| c.sender.is_ready())?;
+        let fit = |c: &Connection| c.sender.is_ready() && table.silence.is_fit(c.id(), idempotent, now);
+        let index = idle.iter().rposition(fit)?;
         Some(idle.remove(index))
     }
 
+    /// Takes closed and old connections out; they are dropped without a lock held.
+    fn drop_expired(&self, now: Instant, limits: &ConnectLimits) -> Vec<Connection> {
+        let mut idle = lock(&self.idle);
+        let expired = |c: &mut Connection| c.sender.is_closed() || now.saturating_duration_since(c.used) >= limits.idle;
+        idle.extract_if(.., expired).collect()
+    }
+
     /// Takes any idle connection, also one that is not ready yet, where none may be opened.
     pub(crate) fn take_any(&self) -> Option<Connection> {
         lock(&self.idle).pop()
@@ -115,20 +148,72 @@
 
     /// Keeps a connection for the next exchange.
     pub(crate) fn put_back(&self, mut connection: Connection, now: Instant) {
-        if !connection.sender.is_closed() {
+        let retired = lock(&self.silence).retired.contains(&connection.id());
+        if !retired && !connection.sender.is_closed() {
             connection.used = now;
             lock(&self.idle).push(connection);
         }
     }
 
-    /// Closes idle connections that were opened before an instant.
-    pub(crate) fn retire_before(&self, opened: Instant) {
-        lock(&self.idle).retain(|c| c.opened >= opened);
+    /// Notes the head of an answer on a connection.
+    pub(crate) fn note_answer(&self, id: ConnectionId, now: Instant) {
+        lock(&self.silence).silence.answer(id, now);
+    }
+
+    /// Notes the timeout of an exchange that began at `started` and tells whether to probe the
+    /// upstream on a new connection.
+    pub(crate) fn note_timeout(&self, id: ConnectionId, started: Instant, now: Instant) -> bool {
+        lock(&self.silence)
+            .silence
+            .time_out(id, started, now)
+            .contains(&SilenceStep::Probe)
+    }
+
+    /// Takes the end of a probe: an answer proves that connections which stayed silent are dead.
+    /// Returns the number of timeouts that are not held against the upstream.
+    pub(crate) fn note_probe(&self, answered: bool) -> u32 {
+        let mut table = lock(&self.silence);
+        let steps = if answered {
+            table.silence.probe_answered()
+        } else {
+            table.silence.probe_failed()
+        };
+        let mut forgiven = 0;
+        let mut silent = BTreeSet::new();
+        for step in steps {
+            match step {
+                SilenceStep::Retire(ids) => silent.extend(ids),
+                SilenceStep::Forgive(count) => forgiven += count,
+                SilenceStep::Blame(_) | SilenceStep::Probe => {}
+            }
+        }
+        table.retired.extend(&silent);
+        drop(table);
+        let dead: Vec<Connection> = lock(&self.idle).extract_if(.., |c| silent.contains(&c.id())).collect();
+        drop(dead);
+        forgiven
     }
 
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
-        lock(&self.idle).clear();
+        let idle = std::mem::take(&mut *lock(&self.idle));
+        drop(idle);
+    }
+
+    /// Number of open connections.
+    pub(crate) fn open_count(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn take_slot(self: &Arc<Self>) -> OpenSlot {
+        let mut table = lock(&self.silence);
+        table.next += 1;
+        let id = ConnectionId(table.next);
+        table.silence.open(id, Instant::now());
+        OpenSlot {
+            id,
+            connections: Arc::clone(self),
+        }
     }
 
     /// Opens a connection within the limits.
@@ -145,7 +230,7 @@
             self.open.fetch_sub(1, Ordering::Relaxed);
             return Err(ConnectError::Budget);
         }
-        let slot = OpenSlot(Arc::clone(self));
+        let slot = self.take_slot();
         let stream = timeout(limits.connect, TcpStream::connect(address)).await;
         let stream = stream
             .map_err(|_| ConnectError::Io(io::ErrorKind::TimedOut.into()))?
@@ -165,7 +250,7 @@
             opened: now,
             used: now,
             reset,
-            _slot: slot,
+            slot,
         })
     }
 }
--- a/src/fold/ranges.rs
+++ b/src/fold/ranges.rs
@@ -65,6 +65,20 @@
         self.ranges.iter().map(|(&first, entry)| self.describe(first, entry))
     }
 
+    /// Iterates over the ranges that share a hash with a range.
+    pub(crate) fn overlapping(&self, range: KeyRange) -> impl Iterator<Item = RangeInfo<'_>> {
+        let start = self
+            .ranges
+            .range(..=range.first)
+            .next_back()
+            .map_or(range.first, |(&first, _)| first);
+        let entries = self
+            .ranges
+            .range(start..=range.last)
+            .filter(move |(_, entry)| entry.last >= range.first);
+        entries.map(|(&first, entry)| self.describe(first, entry))
+    }
+
     /// Number of ranges.
     pub(crate) fn len(&self) -> usize {
         self.ranges.len()
--- a/src/host/agreement.rs
+++ b/src/host/agreement.rs
@@ -9,18 +9,19 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::credits::{follow_homes, tick_credits};
-use super::planner::PlanSource;
+use super::planner::{Conditions, Loads, PlanSource};
 use super::proposal::{Proposal, propose};
+use super::suspicion::tick_suspicion;
 use super::upstream_calls::CallEnd;
 use super::{Shared, reader};
 use crate::fold::State;
 use crate::log::Log;
 use crate::membership::{Election, Identity, Lease, Liveness, Report, Site};
-use crate::ownership::{Gate, Granter, Health, LossDetector, MoveAction, Mover, PassId, Plan, Revoke};
+use crate::ownership::{Gate, Grant, Granter, Health, LossDetector, MoveAction, Mover, PassId, Revoke};
 use crate::peer::{Heartbeat, HeartbeatAnswer};
 use crate::records::{Envelope, Record};
 use crate::settings::Settings;
-use crate::types::{HostName, Offset, PoolName, RecordId, UpstreamName};
+use crate::types::{HostName, KeyHash, KeyRange, Offset, PoolName, RecordId, UpstreamName};
 
 /// Time between two rounds of decisions; the guard of the lease covers one round.
 const TICK: Duration = Duration::from_millis(20);
@@ -57,7 +58,7 @@
 struct Round {
     appends: Vec<Record>,
     revokes: Vec<(UpstreamName, Revoke)>,
-    grants: Vec<(UpstreamName, crate::ownership::Grant)>,
+    grants: Vec<(UpstreamName, Grant)>,
     probes: Vec<UpstreamName>,
     aborts: Vec<(PoolName, PassId)>,
     heartbeat: Option<Heartbeat>,
@@ -67,7 +68,10 @@
 impl Agreement {
     pub(crate) fn new(settings: &Settings, me: Identity, peers: SocketAddr, now: Instant) -> Self {
         let timing = &settings.timing;
-        let site = Site { zone: settings.zone.clone(), address: peers };
+        let site = Site {
+            zone: settings.zone.clone(),
+            address: peers,
+        };
         let tables = Tables {
             lease: Lease::new(me.clone(), timing, now),
             liveness: Liveness::new(me.clone(), now),
@@ -84,7 +88,9 @@
             was_leading: None,
             me,
         };
-        Self { tables: Mutex::new(tables) }
+        Self {
+            tables: Mutex::new(tables),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Tables> {
@@ -101,6 +107,11 @@
         self.lock().lease.holds(now, state)
     }
 
+    /// Tells whether this host has run long enough to confirm the leases of others.
+    pub(crate) fn confirms_peers(&self, now: Instant, state: &State) -> bool {
+        self.lock().lease.confirms(now, state, state.folded)
+    }
+
     /// Notes a read of the log that was sent at `asked`; its records must be folded.
     pub(crate) fn note_read(&self, asked: Instant, state: &State, next: Offset) {
         let mut tables = self.lock();
@@ -121,8 +132,8 @@
     }
 
     /// Adds load of one request to a key's range, for the planner.
-    pub(crate) fn note_load(&self, pool: &PoolName, hash: crate::types::KeyHash, now: Instant) {
-        self.lock().plans.note_load(pool, hash, now);
+    pub(crate) fn note_load(&self, pool: &PoolName, range: KeyRange, hash: KeyHash, now: Instant) {
+        self.lock().plans.note_load(pool, range, hash, now);
     }
 
     /// Notes the answer of an upstream to a question sent at `asked`.
@@ -141,7 +152,7 @@
 }
 
 impl Tables {
-    fn describe(&mut self, now: Instant, state: &State) -> Heartbeat {
+    fn describe(&mut self, now: Instant, state: &State, loads: Option<Loads>) -> Heartbeat {
         let report = Report {
             sender: self.me.clone(),
             folded: state.folded,
@@ -149,22 +160,36 @@
             has_lease: self.lease.holds(now, state),
         };
         let acks = self.gate.acks(now, state, &self.granter);
-        let loads = self.plans.own_loads(now);
-        Heartbeat { report, acks, unreachable: self.unreachable.clone(), homes: BTreeMap::new(), loads }
+        Heartbeat {
+            report,
+            acks,
+            unreachable: self.unreachable.clone(),
+            homes: BTreeMap::new(),
+            loads,
+        }
     }
 
-    fn take_heartbeat(&mut self, now: Instant, state: &State, heartbeat: &Heartbeat) {
+    fn take_heartbeat(&mut self, now: Instant, state: &State, heartbeat: Heartbeat) {
         let sender = &heartbeat.report.sender;
         self.liveness.note_report(now, &heartbeat.report);
         self.election.note_report(now, state, &heartbeat.report);
-        self.losses.note_unreachable(now, sender, heartbeat.unreachable.clone());
+        self.losses.note_unreachable(now, sender, heartbeat.unreachable);
         for ack in &heartbeat.acks {
             self.mover.note_ack(now, sender, ack);
         }
-        self.plans.note_peer_loads(&sender.host, heartbeat.loads.clone(), now);
+        if let Some(loads) = heartbeat.loads {
+            self.plans.note_peer_loads(&sender.host, loads, now);
+        }
     }
 
-    fn decide(&mut self, now: Instant, state: &State, settings: &Settings) -> Round {
+    fn decide(
+        &mut self,
+        now: Instant,
+        state: &State,
+        settings: &Settings,
+        cold: &BTreeMap<UpstreamName, u32>,
+        announcing: bool,
+    ) -> Round {
         let mut round = Round::default();
         self.liveness.tick(now, state);
         let until = self.lease.until(now, state);
@@ -179,25 +204,33 @@
             self.mover.note_ack(now, &me, &ack);
         }
         round.appends.extend(self.election.tick(now, state, &self.liveness));
-        self.move_ranges(now, state, &mut round);
+        self.move_ranges(now, state, cold, &mut round);
         round.live = self.live_members(now, state, settings.timing.detection.0);
         let due = |sent| now >= sent + settings.timing.heartbeat.0;
         // A freeze waits for every host, so its acknowledgement doesn't wait for the next heartbeat.
-        let urgent = self.mover.is_waiting() || !self.gate.acks(now, state, &self.granter).is_empty();
+        let urgent = announcing || !self.gate.acks(now, state, &self.granter).is_empty();
         if urgent || self.heartbeat_sent.is_none_or(due) {
             self.heartbeat_sent = Some(now);
-            round.heartbeat = Some(self.describe(now, state));
+            let loads = self.plans.due_report(now);
+            round.heartbeat = Some(self.describe(now, state, loads));
         }
         round
     }
 
-    fn move_ranges(&mut self, now: Instant, state: &State, round: &mut Round) {
+    fn move_ranges(&mut self, now: Instant, state: &State, cold: &BTreeMap<UpstreamName, u32>, round: &mut Round) {
         let term = self.election.acting_term(now, state, &self.liveness);
         let lost = self.losses.lost(now, state, &self.liveness, &self.leaving);
-        let plan = match term {
-            Some(_) => self.plans.plan(now, state, &lost, &self.leaving),
-            None => Plan::new(),
+        if self.was_leading != term {
+            self.plans.reset();
+        }
+        let conditions = Conditions {
+            lost: &lost,
+            leaving: &self.leaving,
+            cold,
         };
+        let plan = term
+            .map(|_| self.plans.plan(now, state, &conditions))
+            .unwrap_or_default();
         for action in self.mover.tick(now, state, term, &self.liveness, &lost, &plan) {
             match action {
                 MoveAction::Append(record) => round.appends.push(record),
@@ -211,7 +244,10 @@
     fn live_members(&self, now: Instant, state: &State, within: Duration) -> Vec<HostName> {
         let others = self.liveness.lease_holders(now, within).cloned();
         let me = self.lease.holds(now, state).then(|| self.me.host.clone());
-        others.chain(me).filter(|host| state.membership.members.contains_key(host)).collect()
+        others
+            .chain(me)
+            .filter(|host| state.membership.members.contains_key(host))
+            .collect()
     }
 }
 
@@ -229,9 +265,15 @@
         let round = {
             let state = shared.state();
             shared.peers.set_members(&state.membership);
-            shared.agreement.lock().decide(now, &state, &shared.settings)
+            let cold = shared.credits.cold_limits();
+            shared
+                .agreement
+                .lock()
+                .decide(now, &state, &shared.settings, &cold, shared.credits.is_announcing())
         };
         tick_credits(&shared, &round.live, now);
+        tick_suspicion(&shared, shared.peers.members(), now);
+        shared.policies.tick(now);
         shared.metrics.set_lease(shared.holds_lease());
         carry_out(&shared, &log, round);
     }
@@ -243,7 +285,9 @@
     }
     let addresses = upstream_addresses(&shared.state());
     for upstream in round.probes {
-        let Some(&address) = addresses.get(&upstream) else { continue };
+        let Some(&address) = addresses.get(&upstream) else {
+            continue;
+        };
         let shared = Arc::clone(shared);
         tokio::spawn(async move {
             let asked = Instant::now();
@@ -252,7 +296,9 @@
         });
     }
     for (upstream, grant) in round.grants {
-        let Some(&address) = addresses.get(&upstream) else { continue };
+        let Some(&address) = addresses.get(&upstream) else {
+            continue;
+        };
         let shared = Arc::clone(shared);
         tokio::spawn(async move {
             let asked = Instant::now();
@@ -261,7 +307,9 @@
         });
     }
     for (upstream, revoke) in round.revokes {
-        let Some(&address) = addresses.get(&upstream) else { continue };
+        let Some(&address) = addresses.get(&upstream) else {
+            continue;
+        };
         let shared = Arc::clone(shared);
         tokio::spawn(async move {
             let asked = Instant::now();
@@ -283,11 +331,17 @@
 
 fn upstream_addresses(state: &State) -> BTreeMap<UpstreamName, SocketAddr> {
     let upstreams = state.tables.pools.values().flat_map(|pool| &pool.upstreams);
-    upstreams.map(|(name, upstream)| (name.clone(), upstream.address)).collect()
+    upstreams
+        .map(|(name, upstream)| (name.clone(), upstream.address))
+        .collect()
 }
 
 async fn append(shared: Arc<Shared>, log: impl Log, body: Record) {
-    let envelope = Envelope { id: RecordId::draw(), author: shared.settings.host.to_string(), body };
+    let envelope = Envelope {
+        id: RecordId::draw(),
+        author: shared.settings.host.to_string(),
+        body,
+    };
     match propose(&shared, &log, &envelope, APPEND_LIMIT).await {
         Proposal::Folded { offset, outcome } => {
             info!(shared.log, "record folded"; "offset" => offset.0, "outcome" => ?outcome);
@@ -308,8 +362,15 @@
 async fn send_heartbeat(shared: Arc<Shared>, host: HostName, heartbeat: Heartbeat) {
     let asked = Instant::now();
     let folded = heartbeat.report.folded;
-    let Ok(answer) = shared.peers.exchange_heartbeat(&host, heartbeat).await else { return };
-    let HeartbeatAnswer { heartbeat, confirms, records } = answer;
+    let announced = heartbeat.homes.clone();
+    let Ok(answer) = shared.peers.exchange_heartbeat(&host, heartbeat).await else {
+        return;
+    };
+    let HeartbeatAnswer {
+        heartbeat,
+        confirms,
+        records,
+    } = answer;
     if confirms {
         let state = shared.state();
         let mut tables = shared.agreement.lock();
@@ -319,12 +380,21 @@
     }
     reader::fold_records(&shared, folded, &records);
     take_heartbeat(&shared, heartbeat);
+    shared.credits.note_announced(&host, &announced);
 }
 
 /// Takes a peer's heartbeat.
 fn take_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat) {
-    shared.agreement.lock().take_heartbeat(Instant::now(), &shared.state(), &heartbeat);
-    follow_homes(shared, heartbeat.homes);
+    let homes = heartbeat.homes.clone();
+    {
+        // The state is locked before the decision tables everywhere.
+        let state = shared.state();
+        shared
+            .agreement
+            .lock()
+            .take_heartbeat(Instant::now(), &state, heartbeat);
+    }
+    follow_homes(shared, homes);
 }
 
 /// Takes a peer's heartbeat and answers it.
@@ -336,9 +406,13 @@
     let state = shared.state();
     let mut tables = shared.agreement.lock();
     let confirms = sender_is_member && tables.lease.confirms(now, &state, folded);
-    let mut heartbeat = tables.describe(now, &state);
+    let mut heartbeat = tables.describe(now, &state, None);
     drop(tables);
     drop(state);
     heartbeat.homes = shared.credits.homes();
-    HeartbeatAnswer { heartbeat, confirms, records: shared.tail.since(folded) }
+    HeartbeatAnswer {
+        heartbeat,
+        confirms,
+        records: shared.tail.since(folded),
+    }
 }
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -1,11 +1,11 @@
 //! Carries credits between this host's requests and the home hosts of upstreams.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::Shared;
 use crate::admission::{
@@ -13,10 +13,14 @@
     Step, Ticket, home_host,
 };
 use crate::fold::State;
+use crate::membership::outlast;
 use crate::peer::Lends;
 use crate::tables::Upstream;
 use crate::types::{HostName, Reason, UpstreamName};
 
+/// Time between two checks whether an upstream is free for a request that runs alone.
+const ISOLATION_CHECK: Duration = Duration::from_millis(5);
+
 /// Credits of this host and, for upstreams whose home it is, the brokers.
 #[derive(Debug)]
 pub(crate) struct Credits {
@@ -29,6 +33,18 @@
 struct CreditTables {
     purses: BTreeMap<UpstreamName, PurseRow>,
     brokers: BTreeMap<UpstreamName, Broker>,
+    candidacies: BTreeMap<UpstreamName, Candidacy>,
+}
+
+/// This host's announcement that it becomes home of an upstream.
+///
+/// A member that has heard the term runs no earlier broker any more, so the new one may start as
+/// soon as all members have answered; otherwise it waits until the lease of the others has ended.
+#[derive(Debug)]
+struct Candidacy {
+    term: HomeTerm,
+    since: Instant,
+    heard: BTreeSet<HostName>,
 }
 
 #[derive(Debug)]
@@ -54,9 +70,40 @@
     upstream: UpstreamName,
     permit: Option<Permit>,
     sample: Sample,
+    /// The host is to be the only user of the upstream while the slot is held.
+    alone: Option<Isolation>,
+}
+
+/// Asks for the sole use of an upstream until dropped.
+#[derive(Debug)]
+struct Isolation {
+    shared: Arc<Shared>,
+    upstream: UpstreamName,
+}
+
+impl Isolation {
+    fn begin(shared: &Arc<Shared>, upstream: &UpstreamName) -> Self {
+        let outbox = shared.credits.set_isolate(upstream, true, Instant::now());
+        send_messages(shared, outbox);
+        Self {
+            shared: Arc::clone(shared),
+            upstream: upstream.clone(),
+        }
+    }
+}
+
+impl Drop for Isolation {
+    fn drop(&mut self) {
+        let outbox = self.shared.credits.set_isolate(&self.upstream, false, Instant::now());
+        send_messages(&self.shared, outbox);
+    }
 }
 
 impl Slot {
+    pub(crate) fn upstream(&self) -> &UpstreamName {
+        &self.upstream
+    }
+
     /// Sets what the release tells the upstream's broker.
     pub(crate) fn set_sample(&mut self, sample: Sample) {
         self.sample = sample;
@@ -66,7 +113,10 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
-            let outbox = self.shared.credits.release(&self.upstream, permit, self.sample, Instant::now());
+            let outbox = self
+                .shared
+                .credits
+                .release(&self.upstream, permit, self.sample, Instant::now());
             send_messages(&self.shared, outbox);
         }
     }
@@ -102,7 +152,11 @@
         Entry::Started(permit) => permit,
         Entry::Refused(reason) => return Err(reason),
         Entry::Waiting(ticket, answer) => {
-            let _cancel = CancelOnDrop { shared: Arc::clone(shared), upstream: upstream.clone(), ticket };
+            let _cancel = CancelOnDrop {
+                shared: Arc::clone(shared),
+                upstream: upstream.clone(),
+                ticket,
+            };
             answer.await.map_err(|_| Reason::NoUpstream)??
         }
     };
@@ -116,9 +170,32 @@
             connection_age: Duration::ZERO,
             incarnation: None,
         },
+        alone: None,
     })
 }
 
+/// Waits until this host is the only user of an upstream with nothing in flight, and takes a slot.
+///
+/// # Errors
+///
+/// Gives the reason if the request must be refused; it has not run.
+pub(crate) async fn acquire_alone(
+    shared: &Arc<Shared>,
+    upstream: &UpstreamName,
+    demand: &Demand,
+) -> Result<Slot, Reason> {
+    let isolation = Isolation::begin(shared, upstream);
+    while !shared.credits.is_idle_and_isolated(upstream, Instant::now()) {
+        if Instant::now() >= demand.deadline {
+            return Err(Reason::SuspectWaiting);
+        }
+        sleep(ISOLATION_CHECK).await;
+    }
+    let mut slot = acquire_slot(shared, upstream, demand).await?;
+    slot.alone = Some(isolation);
+    Ok(slot)
+}
+
 enum Entry {
     Started(Permit),
     Refused(Reason),
@@ -127,7 +204,11 @@
 
 impl Credits {
     pub(crate) fn new(me: Instance, queue_max: u32) -> Self {
-        Self { me, queue_max: queue_max as usize, tables: Mutex::default() }
+        Self {
+            me,
+            queue_max: queue_max as usize,
+            tables: Mutex::default(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, CreditTables> {
@@ -160,6 +241,18 @@
         tables.carry_out(upstream, steps, self, now)
     }
 
+    fn set_isolate(&self, upstream: &UpstreamName, isolate: bool, now: Instant) -> Outbox {
+        let mut tables = self.lock();
+        let steps = tables.row(upstream, self).purse.set_isolate(isolate, now);
+        tables.carry_out(upstream, steps, self, now)
+    }
+
+    fn is_idle_and_isolated(&self, upstream: &UpstreamName, now: Instant) -> bool {
+        let mut tables = self.lock();
+        let purse = &tables.row(upstream, self).purse;
+        purse.is_isolated(now) && purse.running() == 0
+    }
+
     fn release(&self, upstream: &UpstreamName, permit: Permit, sample: Sample, now: Instant) -> Outbox {
         let mut tables = self.lock();
         let steps = tables.row(upstream, self).purse.release(permit, sample, now);
@@ -187,10 +280,45 @@
         self.lock().run_queue(queue, self, now)
     }
 
-    /// Brokers that this host runs, for the heartbeats.
+    /// Terms of the brokers that this host runs or is about to run, for the heartbeats.
     pub(crate) fn homes(&self) -> BTreeMap<UpstreamName, HomeTerm> {
         let tables = self.lock();
-        tables.brokers.iter().map(|(name, broker)| (name.clone(), broker.term().clone())).collect()
+        let running = tables.brokers.iter().map(|(name, broker)| (name, broker.term()));
+        let announced = tables
+            .candidacies
+            .iter()
+            .map(|(name, candidacy)| (name, &candidacy.term));
+        running
+            .chain(announced)
+            .map(|(name, term)| (name.clone(), term.clone()))
+            .collect()
+    }
+
+    /// Notes that a member has answered a heartbeat that announced terms.
+    pub(super) fn note_announced(&self, host: &HostName, terms: &BTreeMap<UpstreamName, HomeTerm>) {
+        for (name, candidacy) in &mut self.lock().candidacies {
+            if terms.get(name) == Some(&candidacy.term) {
+                candidacy.heard.insert(host.clone());
+            }
+        }
+    }
+
+    /// Tells whether peers should hear a new term at once.
+    pub(super) fn is_announcing(&self) -> bool {
+        !self.lock().candidacies.is_empty()
+    }
+
+    /// Concurrency limits of upstreams in slow start, as far as this host uses them.
+    pub(crate) fn cold_limits(&self) -> BTreeMap<UpstreamName, u32> {
+        let tables = self.lock();
+        let lends = tables
+            .purses
+            .iter()
+            .filter_map(|(name, row)| Some((name, row.purse.last_lend()?)));
+        lends
+            .filter(|(_, lend)| lend.cold)
+            .map(|(name, lend)| (name.clone(), lend.limit))
+            .collect()
     }
 
     /// Follows the brokers that another host runs.
@@ -213,6 +341,11 @@
     fn tick(&self, now: Instant, state: &State, live: &[HostName], lease: Duration) -> Outbox {
         let mut tables = self.lock();
         let mut outbox = Outbox::new();
+        if !live.contains(&self.me.host) {
+            // Without a routing lease, another host may have become home already.
+            tables.brokers.clear();
+            tables.candidacies.clear();
+        }
         for pool in state.tables.pools.values() {
             for (name, upstream) in &pool.upstreams {
                 outbox.extend(tables.follow_home(name, upstream, state, live, self, lease, now));
@@ -221,7 +354,9 @@
         }
         let kept = |name: &UpstreamName| state.tables.pools.values().any(|p| p.upstreams.contains_key(name));
         tables.brokers.retain(|name, _| kept(name));
-        tables.purses.retain(|name, row| kept(name) || row.purse.running() > 0 || !row.waiting.is_empty());
+        tables
+            .purses
+            .retain(|name, row| kept(name) || row.purse.running() > 0 || !row.waiting.is_empty());
         let names: Vec<UpstreamName> = tables.purses.keys().cloned().collect();
         for name in names {
             let steps = tables.row(&name, self).purse.tick(now);
@@ -308,7 +443,10 @@
         outbox
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one call, which names each thing that the decision reads")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one call, which names each thing that the decision reads"
+    )]
     fn follow_home(
         &mut self,
         name: &UpstreamName,
@@ -319,11 +457,15 @@
         lease: Duration,
         now: Instant,
     ) -> Outbox {
-        let capacity = Capacity { slots: upstream.slots, connections: upstream.connections };
+        let capacity = Capacity {
+            slots: upstream.slots,
+            connections: upstream.connections,
+        };
         let members = &state.membership.members;
         let is_home = home_host(name, live) == Some(&credits.me.host);
         if !is_home {
             // Another host's broker takes over with a higher term, which ends this one.
+            self.candidacies.remove(name);
             return Outbox::new();
         }
         if let Some(broker) = self.brokers.get_mut(name) {
@@ -331,29 +473,65 @@
             broker.resize(capacity, hosts, now);
             return Outbox::new();
         }
-        let earlier = self.row(name, credits).purse.term().cloned();
-        let round = earlier.as_ref().map_or(0, |t| t.round) + 1;
-        let term = HomeTerm { round, host: credits.me.host.clone() };
-        let evicted = earlier.as_ref().is_some_and(|t| !members.contains_key(&t.host));
-        let alone = members.len() == 1;
-        let not_before = if evicted || alone { now } else { now + lease };
-        let instances = members
-            .iter()
-            .map(|(host, member)| Instance { host: host.clone(), incarnation: member.incarnation });
-        let broker = Broker::new(name.clone(), term.clone(), capacity, instances, not_before, now);
+        let Some(term) = self.win_candidacy(name, state, credits, lease, now) else {
+            return Outbox::new();
+        };
+        let instances = members.iter().map(|(host, member)| Instance {
+            host: host.clone(),
+            incarnation: member.incarnation,
+        });
+        let broker = Broker::new(name.clone(), term.clone(), capacity, instances, now, now);
         self.brokers.insert(name.clone(), broker);
         let steps = self.row(name, credits).purse.set_home(term, now);
         self.carry_out(name, steps, credits, now)
     }
 
+    /// Announces a term and gives it once no earlier broker can lend any more.
+    fn win_candidacy(
+        &mut self,
+        name: &UpstreamName,
+        state: &State,
+        credits: &Credits,
+        lease: Duration,
+        now: Instant,
+    ) -> Option<HomeTerm> {
+        let known = self.row(name, credits).purse.term().cloned();
+        let overtaken = |c: &Candidacy| known.as_ref().is_some_and(|known| *known >= c.term);
+        if self.candidacies.get(name).is_none_or(overtaken) {
+            let round = known.map_or(0, |term| term.round) + 1;
+            let term = HomeTerm {
+                round,
+                host: credits.me.host.clone(),
+            };
+            let candidacy = Candidacy {
+                term,
+                since: now,
+                heard: BTreeSet::new(),
+            };
+            self.candidacies.insert(name.clone(), candidacy);
+        }
+        let candidacy = self.candidacies.get(name)?;
+        let others = state.membership.members.keys().filter(|host| **host != credits.me.host);
+        let all_heard = others.clone().all(|host| candidacy.heard.contains(host));
+        if !all_heard && now < candidacy.since + outlast(lease) {
+            return None;
+        }
+        self.candidacies.remove(name).map(|candidacy| candidacy.term)
+    }
+
     fn share_warmth<'a>(&mut self, upstreams: impl Iterator<Item = &'a UpstreamName> + Clone) {
-        let rows = upstreams.clone().filter_map(|name| self.purses.get(name)?.purse.last_lend());
+        let rows = upstreams
+            .clone()
+            .filter_map(|name| self.purses.get(name)?.purse.last_lend());
         let cold = rows.filter(|lend| lend.cold).count();
         let total = upstreams.clone().count();
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         for name in upstreams {
             if let Some(broker) = self.brokers.get_mut(name) {
-                broker.set_pool(PoolWarmth { cold: count(cold), total: count(total) });
+                broker.set_pool(PoolWarmth {
+                    cold: count(cold),
+                    total: count(total),
+                });
             }
         }
     }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,29 +1,45 @@
 //! Wiring of an entry host: shared state, tasks, graceful shutdown.
 
-mod leader;
+mod agreement;
+mod credits;
+mod flights;
+mod peer_side;
+mod planner;
+mod policies;
 mod proposal;
 mod reader;
 mod shared;
 mod signals;
+mod suspicion;
+mod tail;
+mod upstream_calls;
 
 use std::sync::Arc;
 
 use displaydoc::Display;
 use slog::{Logger, info};
 use thiserror::Error;
+use tokio::net::TcpListener;
 
 use crate::control::start_operators;
 use crate::entry::start_entry;
 use crate::log::HttpLog;
+use crate::peer::serve_peers;
 use crate::settings::Settings;
 use crate::telemetry::build_logger;
 
+use peer_side::PeerSide;
+
+pub(crate) use credits::{Slot, acquire_alone, acquire_slot};
 pub(crate) use proposal::{Proposal, find_proposal, propose};
 pub(crate) use shared::{InFlight, Shared};
+pub(crate) use suspicion::{WatchedRun, note_restart, wait_for_standing};
 
 /// Why a host can't run.
 #[derive(Debug, Display, Error)]
 pub(crate) enum HostError {
+    /// can't listen for peers: {0}
+    Peers(std::io::Error),
     /// can't listen for callers: {0}
     Callers(String),
     /// can't listen for operators: {0}
@@ -37,18 +53,27 @@
 /// Fails if an address can't be bound.
 pub(crate) async fn run_host(settings: Settings) -> Result<(), HostError> {
     let log = build_logger(settings.host.as_str());
-    let shared = Arc::new(Shared::new(settings, log.clone()));
+    let listener = TcpListener::bind(settings.listen.peers)
+        .await
+        .map_err(HostError::Peers)?;
+    let peers = listener.local_addr().map_err(HostError::Peers)?;
+    let shared = Arc::new(Shared::new(settings, log.clone(), peers));
+    serve_peers(
+        listener,
+        shared.settings.credentials.peers.clone(),
+        Arc::new(PeerSide(Arc::clone(&shared))),
+    );
     let platform = HttpLog::new(shared.settings.platform.log);
     let server = start_entry(&shared).map_err(HostError::Callers)?;
     let operators = start_operators(&shared, &platform).map_err(HostError::Operators)?;
     info!(log, "listening"; "callers" => server.local_addr().to_string(),
-        "operators" => operators.local_addr().to_string());
+        "operators" => operators.local_addr().to_string(), "peers" => peers.to_string());
     let reader = tokio::spawn(reader::follow_log(Arc::clone(&shared), platform.clone()));
-    let leader = tokio::spawn(leader::lead(Arc::clone(&shared), platform));
+    let agreement = tokio::spawn(agreement::run_agreement(Arc::clone(&shared), platform));
     signals::wait_for_stop().await;
     stop(&shared, &log).await;
     reader.abort();
-    leader.abort();
+    agreement.abort();
     server.close().await.ok();
     operators.close().await.ok();
     info!(log, "stopped");
--- a/src/host/reader.rs
+++ b/src/host/reader.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use slog::{debug, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::Shared;
 use crate::fold::Outcome;
-use crate::log::{Batch, Log, RawRecord, ReadError, STATE_STREAM};
+use crate::log::{Log, RawRecord, ReadError, STATE_STREAM};
 use crate::records::decode_record;
 use crate::types::Offset;
 
@@ -21,12 +21,17 @@
 pub(super) async fn follow_log(shared: Arc<Shared>, log: impl Log) {
     let wait = shared.settings.timing.routing_lease.0 / READS_PER_LEASE;
     loop {
-        let from = Offset(shared.state().folded.0 + 1);
-        match log.read(STATE_STREAM, from, wait).await {
-            Ok(batch) => fold_batch(&shared, &batch),
+        let folded = shared.state().folded;
+        // The lease counts from before the question was sent.
+        let asked = Instant::now();
+        match log.read(STATE_STREAM, Offset(folded.0 + 1), wait).await {
+            Ok(batch) => {
+                fold_records(&shared, folded, &batch.records);
+                shared.agreement.note_read(asked, &shared.state(), batch.next);
+            }
             Err(error) => {
                 if error == ReadError::Expired {
-                    warn!(shared.log, "log no longer keeps the next record"; "offset" => from.0);
+                    warn!(shared.log, "log no longer keeps the next record"; "folded" => folded.0);
                 }
                 debug!(shared.log, "log read failed"; "error" => error.to_string());
                 sleep(RETRY_PAUSE).await;
@@ -35,13 +40,20 @@
     }
 }
 
-fn fold_batch(shared: &Shared, batch: &Batch) {
-    if batch.records.is_empty() {
+/// Folds records that follow `folded`, from the log or from a peer.
+pub(super) fn fold_records(shared: &Shared, folded: Offset, records: &[RawRecord]) {
+    // A gap would fold later records on a state that misses earlier ones.
+    let follows = records.first().is_some_and(|first| first.offset.0 <= folded.0 + 1);
+    if !follows {
         return;
     }
     shared.change_state(|state| {
-        for record in &batch.records {
-            fold_record(shared, state, record);
+        let fresh = records.iter().filter(|record| record.offset > folded);
+        for record in fresh {
+            if record.offset.0 == state.folded.0 + 1 {
+                fold_record(shared, state, record);
+                shared.tail.push(record.clone());
+            }
         }
     });
 }
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -1,47 +1,85 @@
 //! State that the tasks of a host share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::Instant;
 
+use super::agreement::Agreement;
+use super::credits::Credits;
+use super::flights::Flights;
+use super::policies::Policies;
 use super::proposal::Outcomes;
+use super::suspicion::Suspicion;
+use super::tail::Tail;
+use super::upstream_calls::UpstreamCalls;
 use crate::exchange::Connector;
 use crate::fold::State;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
-use crate::types::{Incarnation, Offset};
+use crate::types::{Incarnation, Instance, Offset};
+
+/// Requests that may wait for the end of moves at once; each holds at most 64 KiB of body.
+const MOVE_WAITERS: usize = 512;
 
 /// What all tasks of a host see.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
-    pub(crate) incarnation: Incarnation,
+    pub(crate) me: Instance,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) connector: Connector,
+    pub(crate) peers: Peers,
+    pub(crate) calls: UpstreamCalls,
+    pub(crate) agreement: Agreement,
+    pub(crate) credits: Credits,
+    pub(crate) flights: Flights,
+    pub(crate) policies: Policies,
+    pub(crate) suspicion: Suspicion,
+    pub(crate) tail: Tail,
     state: RwLock<State>,
     outcomes: Mutex<Outcomes>,
     /// Offset of the last folded record; tasks that wait for a change subscribe to it.
     pub(crate) folded: watch::Sender<Offset>,
     draining: AtomicBool,
     requests: watch::Sender<u32>,
+    /// Places of requests that wait for the end of a move.
+    moving: Arc<Semaphore>,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, log: Logger) -> Self {
-        Self {
-            settings,
+    /// Makes the state of a host that peers reach at `peers`.
+    pub(crate) fn new(settings: Settings, log: Logger, peers: SocketAddr) -> Self {
+        let now = Instant::now();
+        let me = Instance {
+            host: settings.host.clone(),
             incarnation: draw_incarnation(),
-            log,
+        };
+        Self {
             metrics: Metrics::new(),
             connector: Connector::default(),
+            peers: Peers::new(&settings.credentials.peers),
+            calls: UpstreamCalls::new(),
+            agreement: Agreement::new(&settings, me.clone(), peers, now),
+            credits: Credits::new(me.clone(), settings.limits.queue),
+            flights: Flights::default(),
+            policies: Policies::new(now),
+            suspicion: Suspicion::new(&me, now),
+            tail: Tail::default(),
+            settings,
+            me,
+            log,
             state: RwLock::default(),
             outcomes: Mutex::default(),
             folded: watch::Sender::new(Offset(0)),
             draining: AtomicBool::new(false),
             requests: watch::Sender::new(0),
+            moving: Arc::new(Semaphore::new(MOVE_WAITERS)),
         }
     }
 
@@ -74,7 +112,15 @@
 
     /// Tells whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.state().tables_version.offset != Offset(0)
+        let state = self.state();
+        let in_service = state.in_service(&self.settings.host, &self.settings.zone);
+        let has_tables = state.tables_version.offset != Offset(0);
+        !self.is_draining() && has_tables && in_service && self.agreement.holds_lease(Instant::now(), &state)
+    }
+
+    /// Tells whether this host may route.
+    pub(crate) fn holds_lease(&self) -> bool {
+        self.agreement.holds_lease(Instant::now(), &self.state())
     }
 
     /// Counts a caller's request until the value is dropped.
@@ -83,6 +129,11 @@
         InFlight(Arc::clone(self))
     }
 
+    /// Lets a request wait for the end of a move, unless too many do.
+    pub(crate) fn wait_for_move(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.moving).try_acquire_owned().ok()
+    }
+
     pub(crate) fn in_flight(&self) -> u32 {
         *self.requests.borrow()
     }
--- a/src/host/upstream_calls.rs
+++ b/src/host/upstream_calls.rs
@@ -43,7 +43,9 @@
         connector.set_nodelay(true);
         // A new connection for each call shows whether the upstream accepts them; a kept one can
         // have gone silent.
-        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build(connector);
         Self { client }
     }
 
@@ -52,6 +54,15 @@
         self.call(Method::GET, address, "health", &()).await
     }
 
+    /// Tells whether the upstream answers at all on a new connection.
+    pub(crate) async fn is_answering(&self, address: SocketAddr) -> bool {
+        let uri = format!("http://{address}/.ragworthub/health");
+        let Ok(request) = Request::get(uri).body(Full::new(Bytes::new())) else {
+            return false;
+        };
+        matches!(timeout(CALL_LIMIT, self.client.request(request)).await, Ok(Ok(_)))
+    }
+
     /// Sends a grant.
     pub(crate) async fn grant(&self, address: SocketAddr, grant: &Grant) -> CallEnd {
         self.call(Method::PUT, address, "grant", grant).await
@@ -63,20 +74,32 @@
     }
 
     async fn call(&self, method: Method, address: SocketAddr, name: &str, body: &impl Serialize) -> CallEnd {
-        let Ok(body) = serde_json::to_vec(body) else { return CallEnd::Failed };
-        let body = if method == Method::GET { Bytes::new() } else { body.into() };
+        let Ok(body) = serde_json::to_vec(body) else {
+            return CallEnd::Failed;
+        };
+        let body = if method == Method::GET {
+            Bytes::new()
+        } else {
+            body.into()
+        };
         let uri = format!("http://{address}/.ragworthub/{name}");
-        let request = Request::builder().method(method).uri(uri).header("content-type", "application/json");
-        let Ok(request) = request.body(Full::new(body)) else { return CallEnd::Failed };
-        timeout(CALL_LIMIT, self.exchange(request)).await.unwrap_or(CallEnd::Failed)
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .header("content-type", "application/json");
+        let Ok(request) = request.body(Full::new(body)) else {
+            return CallEnd::Failed;
+        };
+        timeout(CALL_LIMIT, self.exchange(request))
+            .await
+            .unwrap_or(CallEnd::Failed)
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> CallEnd {
         let answer = match self.client.request(request).await {
             Ok(answer) if answer.status().is_success() => answer,
-            Ok(_) => return CallEnd::Failed,
             Err(error) if is_refused(&error) => return CallEnd::Refused,
-            Err(_) => return CallEnd::Failed,
+            Ok(_) | Err(_) => return CallEnd::Failed,
         };
         let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
         let clock = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,3 +44,4 @@
 pub mod measure;
 
 pub use control::run_command;
+pub use ownership::{CheckError, GrantCheck};
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -12,6 +12,7 @@
 use crate::types::{Incarnation, KeyRange, Offset, PoolName, Span, UpstreamName, value};
 
 mod gate;
+mod grant_check;
 mod granter;
 mod grants;
 mod health;
@@ -22,6 +23,7 @@
 mod tests;
 
 pub(crate) use gate::{Denied, Gate, Pass, PassId};
+pub use grant_check::{CheckError, GrantCheck};
 pub(crate) use granter::Granter;
 pub(crate) use grants::{GrantRefusal, UpstreamGrants};
 pub(crate) use health::Health;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -32,7 +32,7 @@
     /// {0} is no member
     NotMember(HostName),
     /// peer {0} did not answer: {1}
-    Failed(HostName, Status),
+    Failed(HostName, Box<Status>),
 }
 
 type Client = PeersClient<InterceptedService<Channel, ShowCredential>>;
@@ -65,7 +65,7 @@
         pub(crate) async fn $name(&self, to: &HostName, message: $question) -> Result<$answer, CallError> {
             let mut client = self.client(to)?;
             let answer = client.$name(message).await;
-            answer.map(tonic::Response::into_inner).map_err(|status| CallError::Failed(to.clone(), status))
+            answer.map(tonic::Response::into_inner).map_err(|status| CallError::Failed(to.clone(), Box::new(status)))
         }
     )+};
 }
@@ -93,6 +93,16 @@
         }
     }
 
+    /// Names of all members.
+    pub(crate) fn members(&self) -> Vec<HostName> {
+        self.members
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .keys()
+            .cloned()
+            .collect()
+    }
+
     fn connect(&self, address: SocketAddr) -> Client {
         let endpoint = Endpoint::from_shared(format!("http://{address}")).expect("an address forms a URI");
         let channel = endpoint
@@ -119,6 +129,6 @@
         exchange_heartbeat(Heartbeat) -> HeartbeatAnswer;
         report_credits(CreditReport) -> Lends;
         lend_credits(Lends) -> Received;
-        share_suspects(SuspectNews) -> SuspectNews;
+        share_suspects(SuspectNews) -> Received;
     }
 }
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -1,14 +1,15 @@
 //! Messages between hosts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::admission::Lend;
 pub(crate) use crate::admission::Report as CreditReport;
+use crate::admission::{HomeTerm, Lend};
 use crate::choice::SuspectMessage;
 use crate::log::RawRecord;
 use crate::membership::Report;
 use crate::ownership::FreezeAck;
-use crate::types::{UpstreamName, value};
+use crate::placement::LoadReport;
+use crate::types::{PoolName, UpstreamName, value};
 
 value! {
     /// What a host tells each peer several times per routing lease.
@@ -17,6 +18,10 @@
         pub(crate) acks: Vec<FreezeAck>,
         /// Upstreams that the sender can't reach.
         pub(crate) unreachable: BTreeSet<UpstreamName>,
+        /// Upstreams whose broker the sender runs.
+        pub(crate) homes: BTreeMap<UpstreamName, HomeTerm>,
+        /// Loads of key ranges, in some heartbeats only.
+        pub(crate) loads: Option<BTreeMap<PoolName, LoadReport>>,
     }
 
     /// The answer to a heartbeat.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,7 +1,5 @@
 //! The gRPC server for peers.
 
-use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use subtle::ConstantTimeEq;
@@ -26,7 +24,7 @@
     fn exchange_heartbeat(&self, message: Heartbeat) -> HeartbeatAnswer;
     fn report_credits(&self, message: CreditReport) -> Lends;
     fn lend_credits(&self, message: Lends);
-    fn share_suspects(&self, message: SuspectNews) -> SuspectNews;
+    fn share_suspects(&self, message: SuspectNews);
 }
 
 struct Service<H>(Arc<H>);
@@ -48,8 +46,9 @@
         Ok(Response::new(Received {}))
     }
 
-    async fn share_suspects(&self, request: Request<SuspectNews>) -> Answer<SuspectNews> {
-        Ok(Response::new(self.0.share_suspects(request.into_inner())))
+    async fn share_suspects(&self, request: Request<SuspectNews>) -> Answer<Received> {
+        self.0.share_suspects(request.into_inner());
+        Ok(Response::new(Received {}))
     }
 }
 
@@ -71,22 +70,10 @@
     }
 }
 
-/// Starts the server for peers and returns its address and the task that runs it.
-///
-/// # Errors
-///
-/// Fails if the address can't be bound.
-pub(crate) async fn serve_peers<H: PeerHandler>(
-    listen: SocketAddr,
-    credential: Secret,
-    handler: Arc<H>,
-    stop: impl Future<Output = ()> + Send + 'static,
-) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind(listen).await?;
-    let address = listener.local_addr()?;
+/// Serves peers on a bound listener, as long as the runtime lives.
+pub(crate) fn serve_peers<H: PeerHandler>(listener: TcpListener, credential: Secret, handler: Arc<H>) {
     let service = PeersServer::new(Service(handler)).max_decoding_message_size(MESSAGE_MAX);
     let checked = InterceptedService::new(service, CheckCredential(credential));
     let server = Server::builder().tcp_nodelay(true).add_service(checked);
-    tokio::spawn(server.serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop));
-    Ok(address)
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
 }
--- a/src/placement/loads.rs
+++ b/src/placement/loads.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::types::{KeyHash, KeyRange};
+use crate::types::{KeyHash, KeyRange, value};
 
 /// Time constants after which weights are rescaled; e^50 is far from the limits of `f64`.
 const RESCALE: f64 = 50.0;
@@ -26,12 +26,14 @@
     sketch: Sketch,
 }
 
-/// Loads per second, as hosts send them to the leader, which adds them up.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct LoadReport {
-    pub(crate) ranges: BTreeMap<KeyRange, f64>,
-    /// Lower bounds for single hashes.
-    pub(crate) hot: BTreeMap<KeyHash, f64>,
+value! {
+    /// Loads per second, as hosts send them to the leader, which adds them up.
+    #[derive(Default)]
+    pub(crate) struct LoadReport {
+        pub(crate) ranges: BTreeMap<KeyRange, f64>,
+        /// Lower bounds for single hashes.
+        pub(crate) hot: BTreeMap<KeyHash, f64>,
+    }
 }
 
 impl LoadTable {
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -135,6 +135,8 @@
     SuspectWaiting = "suspect-waiting", 503;
     /// The request crashed upstreams and is blocked.
     SuspectBlocked = "suspect-blocked", 422;
+    /// The key moved to another owner while the upstream worked on the request for too long.
+    MoveAborted = "move-aborted", 503;
     /// The connection went silent while new ones work.
     ConnectionSilent = "connection-silent", 504;
 }
--- a/standins/src/bin/upstream.rs
+++ b/standins/src/bin/upstream.rs
@@ -24,17 +24,28 @@
     /// Requests that wait for a slot before further ones are shed
     #[arg(long, default_value_t = 16)]
     queue: usize,
+    /// Serve requests for keys without a check of grants
+    #[arg(long)]
+    unfenced: bool,
 }
 
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let arguments = Arguments::parse();
     let service = Duration::from_millis(arguments.service_ms);
+    let Arguments {
+        name,
+        slots,
+        queue,
+        unfenced,
+        ..
+    } = arguments;
     let behaviour = Behaviour {
-        name: arguments.name,
-        slots: arguments.slots,
+        name,
+        slots,
         service,
-        queue: arguments.queue,
+        queue,
+        fenced: !unfenced,
     };
     let address = start_upstream(arguments.listen, behaviour).await?;
     println!("listening {address}");
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ragworthub::{CheckError, GrantCheck};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -35,6 +36,8 @@
     pub service: Duration,
     /// Requests that wait for a slot before further ones are shed.
     pub queue: usize,
+    /// Whether it checks grants for requests that carry a key's hash.
+    pub fenced: bool,
 }
 
 /// What an upstream did; tests judge promises by it.
@@ -60,6 +63,7 @@
     slots: Semaphore,
     waiting: AtomicU64,
     busy: AtomicU64,
+    grants: Mutex<GrantCheck>,
     report: Mutex<Report>,
 }
 
@@ -80,13 +84,16 @@
             incarnation,
             waiting: AtomicU64::new(0),
             busy: AtomicU64::new(0),
+            grants: Mutex::new(GrantCheck::new(incarnation)),
             report: Mutex::new(report),
         }
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Answer {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/.ragworthub/health") => self.text(StatusCode::OK, "ok"),
+            (&Method::GET, "/.ragworthub/health") => self.text(StatusCode::OK, self.lock_grants().read_clock()),
+            (&Method::PUT, "/.ragworthub/grant") => self.take_order(request, GrantCheck::accept_grant).await,
+            (&Method::PUT, "/.ragworthub/revoke") => self.take_order(request, GrantCheck::revoke).await,
             (&Method::GET, "/.ragworthub/report") => {
                 let report = serde_json::to_string(&*self.lock_report()).unwrap_or_default();
                 self.text(StatusCode::OK, report)
@@ -95,6 +102,30 @@
         }
     }
 
+    async fn take_order(
+        &self,
+        request: Request<Incoming>,
+        order: impl FnOnce(&mut GrantCheck, &[u8]) -> Result<(), CheckError>,
+    ) -> Answer {
+        let Ok(body) = request.into_body().collect().await else {
+            return self.text(StatusCode::BAD_REQUEST, "body ended early");
+        };
+        let mut grants = self.lock_grants();
+        match order(&mut grants, &body.to_bytes()) {
+            Ok(()) => self.text(StatusCode::OK, grants.read_clock()),
+            Err(error) => self.text(StatusCode::CONFLICT, error.to_string()),
+        }
+    }
+
+    /// Checks the grant for a request that carries a key's hash.
+    fn check_grant(&self, headers: &HeaderMap) -> Result<(), CheckError> {
+        let header = |name| headers.get(name).and_then(|v| v.to_str().ok());
+        match (header("ragworthub-key-hash"), header("ragworthub-epoch")) {
+            (Some(hash), Some(epoch)) if self.behaviour.fenced => self.lock_grants().check_request(hash, epoch),
+            _ => Ok(()),
+        }
+    }
+
     async fn run(&self, request: Request<Incoming>) -> Answer {
         if self.waiting.load(Ordering::SeqCst) >= self.behaviour.queue as u64 {
             return self.refuse("shed");
@@ -105,6 +136,12 @@
         let Ok(_permit) = permit else {
             return self.refuse("stopping");
         };
+        // The grant may have ended while the request waited for its slot.
+        if let Err(error) = self.check_grant(request.headers()) {
+            let mut answer = self.refuse(error.to_string());
+            *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return answer;
+        }
         let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
         self.note_run(request.headers(), busy);
         let answer = self.work(request).await;
@@ -152,11 +189,15 @@
         }
     }
 
-    fn lock_report(&self) -> std::sync::MutexGuard<'_, Report> {
+    fn lock_grants(&self) -> MutexGuard<'_, GrantCheck> {
+        self.grants.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_report(&self) -> MutexGuard<'_, Report> {
         self.report.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn refuse(&self, text: &'static str) -> Answer {
+    fn refuse(&self, text: impl Into<Bytes>) -> Answer {
         let mut answer = self.text(StatusCode::SERVICE_UNAVAILABLE, text);
         answer
             .headers_mut()
--- a/standins/tests/processes.rs
+++ b/standins/tests/processes.rs
@@ -4,7 +4,9 @@
 
 use std::fmt::Write;
 
-use support::{Host, Process, get, publish, report, send, start_host, start_platform, start_upstream, wait_for};
+use support::{
+    Host, Process, get, operate, publish, report, send, start_host, start_platform, start_upstream, wait_for,
+};
 
 const ROUTES: &str = "
 - { name: placas, prefix: /placas/, callers: { names: [ventanilla] }, pool: placas, key: { segment: 0 } }
@@ -13,7 +15,7 @@
 
 /// Everything that a request passes.
 struct Deployment {
-    _platform: Process,
+    platform: Process,
     hosts: Vec<Host>,
     placas: Vec<Process>,
     padrones: Vec<Process>,
@@ -47,7 +49,7 @@
     let (padrones, padrones_yaml) = start_pool("padrones", "shared", 3);
     publish(&hosts, ROUTES, &(placas_yaml + &padrones_yaml));
     Deployment {
-        _platform: platform,
+        platform,
         hosts,
         placas,
         padrones,
@@ -140,3 +142,72 @@
     assert_eq!((answer.status, answer.verdict.as_str()), (200, "ran"));
     assert_eq!(deployment.hosts[0].process.wait_code(), Some(0));
 }
+
+/// Guards against a key that stays without an owner after its upstream was lost.
+#[test]
+fn a_lost_owner_is_replaced() {
+    let mut deployment = start_deployment();
+    let address = deployment.hosts[0].process.address;
+    let path = "/placas/P-7";
+    let owner = wait_for("an answer", || get(address, path).filter(|a| a.status == 200)).json()["upstream"].clone();
+    let index: usize = owner.as_str().unwrap().rsplit('-').next().unwrap().parse().unwrap();
+    deployment.placas[index].kill();
+    let start = std::time::Instant::now();
+    let next = wait_for("another owner", || get(address, path).filter(|a| a.status == 200));
+    println!("served again after {:?}", start.elapsed());
+    assert_ne!(next.json()["upstream"], owner);
+}
+
+/// Guards against new work for an availability zone that was taken out.
+#[test]
+fn a_zone_that_is_out_gets_no_new_work() {
+    let deployment = start_deployment();
+    let address = deployment.hosts[1].process.address;
+    wait_for("an answer", || get(address, "/placas/P-1").filter(|a| a.status == 200));
+    let (code, _) = operate(&deployment.hosts[0], &["service", "out", "zone", "a"]);
+    assert_eq!(code, 0);
+    let in_zone = [&deployment.placas[0], &deployment.padrones[0]];
+    let ran = || {
+        in_zone
+            .iter()
+            .map(|u| report(u.address)["ran"].as_u64().unwrap())
+            .sum::<u64>()
+    };
+    wait_for("the ranges to move", || {
+        let (_, ranges) = operate(&deployment.hosts[1], &["ownership"]);
+        let owned = ranges.as_array()?.iter().filter(|r| r["owner"] == "placas-0").count();
+        (owned == 0).then_some(())
+    });
+    let before = ran();
+    for i in 0..50 {
+        for path in [format!("/placas/P-{i}"), format!("/padrones/{i}")] {
+            let answer = get(address, &path).expect("an answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    }
+    assert_eq!(ran(), before);
+}
+
+/// Guards against a log outage that ends service, and against changes that seem to take effect in it.
+#[test]
+fn a_log_outage_ends_no_service() {
+    let deployment = start_deployment();
+    let address = deployment.hosts[2].process.address;
+    wait_for("an answer", || get(address, "/placas/P-1").filter(|a| a.status == 200));
+    for host in &deployment.hosts {
+        wait_for("the host to confirm its peers", || {
+            operate(host, &["status"]).1["confirms_peers"].as_bool().filter(|c| *c)
+        });
+    }
+    let json = [("content-type", "application/json")];
+    send("PUT", deployment.platform.address, "/fault", &json, "\"down\"").unwrap();
+    let start = std::time::Instant::now();
+    let mut answers = 0;
+    // Three routing leases, so that a lease on the log alone would have ended.
+    while start.elapsed() < std::time::Duration::from_secs(3) {
+        let answer = get(address, &format!("/placas/P-{answers}")).expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answers += 1;
+    }
+    assert!(answers > 0);
+}
