--- a/src/fold/tests.rs
+++ b/src/fold/tests.rs
@@ -52,8 +52,8 @@
         2 => (0..4_u8).prop_map(Op::Claim),
         6 => (cell.clone(), cell.clone()).prop_map(|(from, to)| Op::Freeze(from, to)),
         6 => (cell.clone(), cell, 0..3_u8).prop_map(|(from, to, owner)| Op::Assign(from, to, owner)),
-        1 => Just(Op::Snapshot),
-        5 => Just(Op::Part),
+        2 => Just(Op::Snapshot),
+        6 => Just(Op::Part),
         2 => (0..20_usize).prop_map(Op::Repeat),
         1 => Just(Op::Garbage),
     ]
@@ -186,13 +186,14 @@
         let text = match op {
             Op::Garbage => "{\"kind\":".to_owned(),
             Op::Repeat(back) => steps[steps.len().saturating_sub(back + 1)].text.clone(),
-            Op::Snapshot | Op::Part => {
-                if matches!(op, Op::Snapshot) {
-                    parts.extend(now.split_snapshot(now.leader.term, 600));
-                }
-                let Some(part) = parts.pop() else { continue };
-                encode_record(&envelope(part)).unwrap()
+            Op::Snapshot => {
+                parts.extend(now.split_snapshot(now.leader.term, 600));
+                continue;
             }
+            Op::Part => match parts.pop() {
+                Some(part) => encode_record(&envelope(part)).unwrap(),
+                None => continue,
+            },
             op => encode_record(&envelope(record(op, seen))).unwrap(),
         };
         let mut after = now.clone();
@@ -354,7 +355,9 @@
             let mut reader = SnapshotReader::new(steps[cut].after.folded);
             for step in &steps[cut..] {
                 if let Some(body) = &step.body {
+                    let newest = reader.through();
                     reader.add(step.after.folded, body);
+                    prop_assert!(reader.through() >= newest);
                 }
             }
             let through = reader.through();
@@ -492,3 +495,26 @@
     assert!(reader.restore(&mut restored));
     assert_eq!(restored, state);
 }
+
+/// Guards against a host that restores damaged text, and against snapshots that never end the wait
+/// for the next one.
+#[test]
+fn only_complete_snapshots_count() {
+    let mut state = last_state(&[]);
+    let whole = state.split_snapshot(state.leader.term, 300);
+    assert!(state.snapshot_due(8) && !state.snapshot_due(10));
+    let mut reader = SnapshotReader::new(Offset(1));
+    for (i, part) in whole.iter().enumerate() {
+        assert_eq!(state.snapshot.complete, Offset(0), "before part {i}");
+        let offset = Offset(state.folded.0 + 1);
+        let mut damaged = envelope(part.clone());
+        if let Record::Snapshot { through, .. } = &mut damaged.body {
+            *through = Offset(3);
+        }
+        reader.add(offset, &damaged);
+        assert_eq!(state.apply(offset, &envelope(part.clone())), Outcome::Applied);
+    }
+    assert_eq!(state.snapshot.complete, Offset(4));
+    assert!(!state.snapshot_due(2 * whole.len() as u64 + 2));
+    assert_eq!(reader.through(), None);
+}
