--- a/src/counts/fold.rs
+++ b/src/counts/fold.rs
@@ -46,8 +46,9 @@
     #[serde(rename_all = "kebab-case")]
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub(crate) enum Why {
-        /// A holder wrote its last counters: all answers are counted, but requests of its last
-        /// moments that got no answer may not be.
+        /// A holder wrote its last counters: every answer that a caller received is counted.
+        /// Requests of its last moments whose caller got no complete answer may be missing, or be
+        /// counted as answered.
         Unanswered,
         /// As before, and some answers were released without a copy of their count.
         Exposed,
