Show lagging copies of counts as uncertain

A zone was lost during a log outage, then the host that alone had a lost instance's newest counters. The other holder wrote an older copy, and the report called all answers counted.

Change: a holder's last record names itself, the instance's holders and how far its copy goes. The report shows `exposed` unless all holders have written and none of the instance's own records is newer than their copies.

Ruled out: releasing an answer only after both holders have it. One unreachable holder would delay every answer by a second.

--- a/src/counts/fold.rs
+++ b/src/counts/fold.rs
@@ -15,11 +15,17 @@
 
 value! {
     /// How an instance ended.
-    #[derive(Copy, Eq)]
+    #[derive(Eq)]
     pub(crate) struct Ending {
         pub(crate) by: EndedBy,
         /// Period of the end; the instance counted nothing later.
         pub(crate) period: Period,
+        /// Highest sequence number that a holder had.
+        pub(crate) through: u64,
+        /// The holder that wrote this, or all that did.
+        pub(crate) written: BTreeSet<Instance>,
+        /// The holders that the instance is known to have used last.
+        pub(crate) holders: BTreeSet<Instance>,
     }
 
     /// Who wrote the last counters of an instance, the better known last.
@@ -50,7 +56,10 @@
         /// Requests of its last moments whose caller got no complete answer may be missing, or be
         /// counted as answered.
         Unanswered,
-        /// As before, and some answers were released without a copy of their count.
+        /// As before, and received answers may be missing too: some were released without a copy
+        /// of their count, or the log had later counters than the holders, or not all holders
+        /// wrote their copies. One acknowledgement releases an answer, so each holder may have
+        /// what the other lacks.
         Exposed,
         /// Nobody wrote its last counters.
         Missing,
@@ -59,6 +68,19 @@
     }
 }
 
+impl Ending {
+    /// Makes an ending that no holder wrote.
+    pub(super) fn new(by: EndedBy, period: Period) -> Self {
+        Self {
+            by,
+            period,
+            through: 0,
+            written: BTreeSet::new(),
+            holders: BTreeSet::new(),
+        }
+    }
+}
+
 /// What became of a record of the counts stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CountsOutcome {
@@ -133,14 +155,8 @@
                 batch,
                 complete,
                 ending,
-            } => self.count(batch, *complete, *ending),
-            CountsBody::Missing { instance, period } => {
-                let ending = Ending {
-                    by: EndedBy::Nobody,
-                    period: *period,
-                };
-                self.end(instance, ending)
-            }
+            } => self.count(batch, *complete, ending.as_ref()),
+            CountsBody::Missing { instance, period } => self.end(instance, &Ending::new(EndedBy::Nobody, *period)),
             CountsBody::Close { period } => self.close(*period),
             CountsBody::Snapshot { .. } => CountsOutcome::Applied,
         }
@@ -194,7 +210,7 @@
         CountsOutcome::Applied
     }
 
-    fn count(&mut self, batch: &Batch, complete: Option<Period>, ending: Option<Ending>) -> CountsOutcome {
+    fn count(&mut self, batch: &Batch, complete: Option<Period>, ending: Option<&Ending>) -> CountsOutcome {
         let closed = self.closed();
         let Some(account) = self.accounts.get_mut(&batch.instance) else {
             return CountsOutcome::UnknownInstance;
@@ -218,13 +234,16 @@
         }
     }
 
-    fn end(&mut self, instance: &Instance, ending: Ending) -> CountsOutcome {
+    fn end(&mut self, instance: &Instance, ending: &Ending) -> CountsOutcome {
         let Some(account) = self.accounts.get_mut(instance) else {
             return CountsOutcome::UnknownInstance;
         };
-        let known = account.end.get_or_insert(ending);
+        let known = account.end.get_or_insert_with(|| ending.clone());
         known.by = known.by.max(ending.by);
         known.period = known.period.max(ending.period);
+        known.through = known.through.max(ending.through);
+        known.written.extend(ending.written.iter().cloned());
+        known.holders.extend(ending.holders.iter().cloned());
         if known.by == EndedBy::Own {
             let start = account.start;
             self.accounts.remove(instance);
@@ -258,7 +277,7 @@
             self.rows.insert(instance, later);
         }
         self.closed = Some(period);
-        let past = |a: &Account| a.end.is_some_and(|end| end.period <= period);
+        let past = |a: &Account| a.end.as_ref().is_some_and(|end| end.period <= period);
         self.accounts.retain(|_, account| !past(account));
         self.rows
             .retain(|instance, rows| !rows.is_empty() && self.accounts.contains_key(instance));
@@ -290,14 +309,16 @@
     }
 
     fn doubt(&self, instance: &Instance, account: &Account, period: Period) -> Option<Why> {
-        let end = account.end?;
+        let end = account.end.as_ref()?;
         let part = account.start <= period && period <= end.period && account.complete < Some(period);
         let rows = self.rows.get(instance).into_iter().flatten();
-        let exposed = rows.filter(|(key, _)| key.period == period).any(|(_, c)| c.exposed > 0);
+        let mut counters = rows.filter(|(key, _)| key.period == period).map(|(_, c)| c);
+        let exposed = counters.any(|c| c.exposed > 0);
+        let lagging = end.through < account.progress.through || !end.holders.is_subset(&end.written);
         match end.by {
             _ if !part => None,
             EndedBy::Nobody => Some(Why::Missing),
-            EndedBy::Holder if exposed => Some(Why::Exposed),
+            EndedBy::Holder if exposed || lagging => Some(Why::Exposed),
             EndedBy::Holder => Some(Why::Unanswered),
             EndedBy::Own => None,
         }
--- a/src/counts/holder.rs
+++ b/src/counts/holder.rs
@@ -31,19 +31,30 @@
 struct Held {
     sheet: Sheet,
     progress: Progress,
+    holders: BTreeSet<Instance>,
     heard: Instant,
     /// Whether the copy was fresh when the instance left the membership.
     evicted: Option<bool>,
 }
 
 /// Copies of the counters of other instances.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Holder {
+    me: Instance,
     members: BTreeSet<Instance>,
     held: BTreeMap<Instance, Held>,
 }
 
 impl Holder {
+    /// Makes the empty holder of a process that has just started.
+    pub(crate) fn new(me: Instance) -> Self {
+        Self {
+            me,
+            members: BTreeSet::new(),
+            held: BTreeMap::new(),
+        }
+    }
+
     /// Keeps the changes of an instance. Changes of an instance that is no member are refused,
     /// because its last counters may be written already.
     pub(crate) fn hold(&mut self, batch: &Batch, now: Instant) -> HoldAnswer {
@@ -56,11 +67,15 @@
         let held = self.held.entry(batch.instance.clone()).or_insert_with(|| Held {
             sheet: Sheet::default(),
             progress: Progress::default(),
+            holders: BTreeSet::new(),
             heard: now,
             evicted: None,
         });
         held.heard = now;
         held.sheet.raise(&batch.entries);
+        if batch.through >= held.progress.through {
+            held.holders.clone_from(&batch.holders);
+        }
         let accepted = batch.after <= held.progress.through;
         held.progress.note_batch(batch);
         HoldAnswer {
@@ -100,15 +115,18 @@
         let period = Period::of(wall);
         let due = self.held.iter().filter_map(|(i, h)| Some((i, h, h.evicted?)));
         due.map(|(instance, held, fresh)| {
-            let ending = fresh.then_some(Ending {
+            let ending = fresh.then(|| Ending {
                 by: EndedBy::Holder,
                 period,
+                through: held.progress.through,
+                written: BTreeSet::from([self.me.clone()]),
+                holders: held.holders.clone(),
             });
             let batches = held.sheet.batches(instance, 0, held.progress.through);
             let body = |batch| CountsBody::Counts {
                 batch,
                 complete: None,
-                ending,
+                ending: ending.clone(),
             };
             (instance.clone(), batches.into_iter().map(body).collect())
         })
--- a/src/counts/ledger.rs
+++ b/src/counts/ledger.rs
@@ -1,6 +1,6 @@
 //! A host's own counters.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
 use tokio::time::Instant;
@@ -127,6 +127,8 @@
             .map(|(_, i, _)| i.clone())
             .collect();
         self.peers.retain(|peer, _| chosen.contains(peer));
+        // The holders that stay are told of the new choice at once.
+        self.peers.values_mut().for_each(|peer| peer.sent_at = None);
         for peer in chosen {
             self.peers.entry(peer).or_insert(Peer {
                 acked: 0,
@@ -211,6 +213,7 @@
     pub(crate) fn batches(&mut self, now: Instant) -> Vec<(Instance, Batch)> {
         let through = self.cut();
         let mut batches = Vec::new();
+        let holders: BTreeSet<_> = self.peers.keys().cloned().collect();
         for (to, peer) in &mut self.peers {
             let since = peer.sent_at.map(|at| now.saturating_duration_since(at));
             if peer.sent > peer.acked && since.is_some_and(|s| s >= peer.resend) {
@@ -224,7 +227,10 @@
                 continue;
             }
             let parts = self.sheet.batches(&self.me, peer.sent, through);
-            batches.extend(parts.into_iter().map(|batch| (to.clone(), batch)));
+            batches.extend(parts.into_iter().map(|batch| {
+                let holders = holders.clone();
+                (to.clone(), Batch { holders, ..batch })
+            }));
             peer.sent = through;
             peer.sent_at = Some(now);
         }
@@ -268,20 +274,17 @@
     /// Returns the last records of an instance that has ended all its requests, for a graceful
     /// shutdown.
     pub(crate) fn end(&mut self, wall: SystemTime) -> Vec<CountsBody> {
-        let ending = Ending {
-            by: EndedBy::Own,
-            period: Period::of(wall).max(self.floor),
-        };
-        self.records(None, Some(ending))
+        let period = Period::of(wall).max(self.floor);
+        self.records(None, Some(&Ending::new(EndedBy::Own, period)))
     }
 
-    fn records(&mut self, complete: Option<Period>, ending: Option<Ending>) -> Vec<CountsBody> {
+    fn records(&mut self, complete: Option<Period>, ending: Option<&Ending>) -> Vec<CountsBody> {
         let through = self.cut();
         let batches = self.sheet.batches(&self.me, self.flushed, through);
         let body = |batch| CountsBody::Counts {
             batch,
             complete,
-            ending,
+            ending: ending.cloned(),
         };
         batches.into_iter().map(body).collect()
     }
--- a/src/counts/sheet.rs
+++ b/src/counts/sheet.rs
@@ -20,6 +20,8 @@
         pub(crate) part: u32,
         pub(crate) parts: u32,
         pub(crate) entries: Vec<Entry>,
+        /// The holders that the instance uses now; empty in the log.
+        pub(crate) holders: BTreeSet<Instance>,
     }
 
     /// How much of an instance's changes a reader has.
@@ -119,6 +121,7 @@
                 part,
                 parts,
                 entries,
+                holders: BTreeSet::new(),
             })
             .collect()
     }
--- a/src/counts/tests.rs
+++ b/src/counts/tests.rs
@@ -252,7 +252,7 @@
             address,
         };
         self.membership.members.insert(me.host.clone(), member);
-        let holder = Holder::default();
+        let holder = Holder::new(me.clone());
         self.hosts[i] = Some(Host {
             me,
             ledger,
