Claim idempotency keys and count requests on the request path

Cause: nothing on the request path claimed an idempotency key, so a payment sent again through another host could run again, and nothing was counted. Ruled out: counting a refused resend as one that may have run; what is known of the earlier request says nothing about this one, and the partner's count would differ. Change: claims and register copies run between hosts; the end of an answer waits until a peer in another availability zone has its count; counts are flushed, and written by holders after an eviction; a planned stop writes the last ones. Conclusion: at most once and counts hold on the real path without faults; the fault tests of claims and counts run on the decision code.

--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -10,7 +10,7 @@
 const OUTPUT: &str = "src/peer/generated";
 
 /// Calls as name, route name, question and answer; the types are those of `src/peer/messages.rs`.
-const CALLS: [(&str, &str, &str, &str); 4] = [
+const CALLS: [(&str, &str, &str, &str); 7] = [
     (
         "exchange_heartbeat",
         "ExchangeHeartbeat",
@@ -19,6 +19,9 @@
     ),
     ("report_credits", "ReportCredits", "CreditReport", "Lends"),
     ("lend_credits", "LendCredits", "Lends", "Received"),
+    ("claim_key", "ClaimKey", "ClaimMessage", "RegisterAnswer"),
+    ("copy_register", "CopyRegister", "CopyQuestion", "CopyPage"),
+    ("hold_counts", "HoldCounts", "Batch", "HoldAnswer"),
     ("share_suspects", "ShareSuspects", "SuspectNews", "Received"),
 ];
 
--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
 use super::call::Call;
+use super::counted::Counted;
 use crate::admission::{Outcome, Sample};
 use crate::choice::RunEnd;
 use crate::exchange::{AnswerGuard, Ended};
@@ -25,6 +26,7 @@
     upstream: UpstreamName,
     started: Instant,
     held: Option<Held>,
+    counted: Option<Counted>,
     aborted: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
     _request: InFlight,
 }
@@ -49,6 +51,7 @@
             upstream,
             started: Instant::now(),
             held: Some(Held { slot, run, pass }),
+            counted: None,
             aborted: token.map(|token| Box::pin(token.cancelled_owned())),
             _request: shared.enter_request(),
         }
@@ -60,6 +63,15 @@
         self.shared.flights.find(pass.id)
     }
 
+    /// Hands over the count of the request, whose answer this attempt delivers.
+    pub(super) fn set_counted(&mut self, mut counted: Counted) {
+        if self.held.is_none() {
+            // An answer without content was complete with its head.
+            counted.finish();
+        }
+        self.counted = Some(counted);
+    }
+
     /// Notes the head of an answer.
     pub(super) fn note_head(&mut self, outcome: Outcome, incarnation: Option<Incarnation>) {
         self.note_outcome(outcome, incarnation);
@@ -113,8 +125,11 @@
 }
 
 impl AnswerGuard for Delivery {
-    fn poll_release(&mut self, _: &mut Context<'_>) -> Poll<()> {
-        Poll::Ready(())
+    fn poll_release(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        match &mut self.counted {
+            Some(counted) => counted.poll_release(context),
+            None => Poll::Ready(()),
+        }
     }
 
     fn poll_abort(&mut self, context: &mut Context<'_>) -> Poll<()> {
@@ -127,16 +142,18 @@
     fn upstream_done(&mut self) {
         self.aborted = None;
         self.give_back();
+        if let Some(counted) = &mut self.counted {
+            counted.finish();
+        }
     }
 
     fn finish(&mut self, ended: Ended) {
-        let verdict = match ended {
-            Ended::Whole | Ended::Abandoned => Verdict::Ran,
-            Ended::Truncated => {
-                self.note_failure(Outcome::Failed, RunEnd::Broken);
-                Verdict::MayHaveRun
-            }
-        };
-        self.shared.metrics.count_request(&self.route, verdict);
+        if ended == Ended::Truncated {
+            self.note_failure(Outcome::Failed, RunEnd::Broken);
+        }
+        if let Some(counted) = &mut self.counted {
+            counted.end(ended == Ended::Whole);
+        }
+        self.shared.metrics.count_request(&self.route, Verdict::Ran);
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::call::Call;
+use super::counted::Counted;
 use super::delivery::Delivery;
 use super::headers::{DEADLINE, EPOCH, INCARNATION, KEY_HASH, NOT_RUN, REQUEST_ID, strip_headers};
 use super::refusal::{Refusal, mark_answer};
@@ -69,6 +70,7 @@
     shared: &Arc<Shared>,
     call: &Call,
     mut outgoing: Outgoing,
+    counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Refusal> {
     strip_headers(&mut outgoing.parts.headers);
     let mut tried = BTreeSet::new();
@@ -76,12 +78,13 @@
     for attempts in 1.. {
         let copy = outgoing.body.replay();
         let body = std::mem::replace(&mut outgoing.body, ForwardBody::empty());
-        let failed = match attempt(shared, call, &outgoing, body, &tried).await {
+        let failed = match attempt(shared, call, &outgoing, body, &tried, counted).await {
             Ok(answer) => return Ok(answer),
             Err(failed) => failed,
         };
         // An earlier attempt that may have run is not undone by a later one that did not.
         verdict = verdict.max(failed.refusal.verdict);
+        set_verdict(counted, verdict);
         let refusal = Refusal {
             verdict,
             reason: failed.refusal.reason,
@@ -110,12 +113,19 @@
     unreachable!("the retry budget ends the attempts")
 }
 
+fn set_verdict(counted: &mut Option<Counted>, verdict: Verdict) {
+    if let Some(counted) = counted {
+        counted.set_verdict(verdict);
+    }
+}
+
 async fn attempt(
     shared: &Arc<Shared>,
     call: &Call,
     outgoing: &Outgoing,
     body: ForwardBody,
     tried: &BTreeSet<UpstreamName>,
+    counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Failed> {
     let (slot, pass) = match reserve(shared, call, outgoing.alone, tried).await {
         Ok(reserved) => reserved,
@@ -131,8 +141,9 @@
     let request = build_request(call, &outgoing.parts, pass.as_ref(), body);
     let run = WatchedRun::start(shared, outgoing.fingerprint, &upstream, target.address, outgoing.alone);
     let delivery = Delivery::start(shared, call, slot, run, pass);
+    set_verdict(counted, Verdict::MayHaveRun);
     match send(shared, call, &target, request, delivery).await {
-        Ok(answer) => take_answer(shared, call, &upstream, answer).await,
+        Ok(answer) => take_answer(shared, call, &upstream, answer, counted).await,
         Err(failure) => Err(take_failure(shared, call, &target, failure)),
     }
 }
@@ -311,6 +322,7 @@
     call: &Call,
     upstream: &UpstreamName,
     answer: Response<AnswerBody<Delivery>>,
+    counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Failed> {
     let (mut parts, mut body) = answer.into_parts();
     let incarnation = find_incarnation(&parts.headers);
@@ -338,6 +350,10 @@
     body.guard().note_head(Outcome::Answered, incarnation);
     strip_headers(&mut parts.headers);
     mark_answer(&mut parts.headers, call.id, Verdict::Ran);
+    if let Some(mut counted) = counted.take() {
+        counted.set_verdict(Verdict::Ran);
+        body.guard().set_counted(counted);
+    }
     body.hold_head().await;
     Ok(Response::from_parts(parts, Body::wrap(body)))
 }
--- a/src/entry/headers.rs
+++ b/src/entry/headers.rs
@@ -12,6 +12,8 @@
 pub(crate) const KEY_HASH: HeaderName = HeaderName::from_static("ragworthub-key-hash");
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("ragworthub-not-run");
 pub(crate) const INCARNATION: HeaderName = HeaderName::from_static("ragworthub-incarnation");
+/// Marks an answer that was stored when the same request ran before.
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("ragworthub-replayed");
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Headers that concern one connection only; those that `Connection` names come on top.
@@ -26,7 +28,16 @@
 ];
 
 /// Headers that only the router sets; a caller or upstream can't forge them.
-const RESERVED: [HeaderName; 7] = [VERDICT, REASON, DEADLINE, EPOCH, KEY_HASH, NOT_RUN, INCARNATION];
+const RESERVED: [HeaderName; 8] = [
+    VERDICT,
+    REASON,
+    DEADLINE,
+    EPOCH,
+    KEY_HASH,
+    NOT_RUN,
+    INCARNATION,
+    REPLAYED,
+];
 
 /// Removes headers that must not pass from one connection to the next.
 pub(crate) fn strip_headers(headers: &mut HeaderMap) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! The callers' side: HTTP server and request path.
 
 mod call;
+mod claim;
+mod counted;
 mod delivery;
 mod forward;
 mod headers;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -10,6 +10,8 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::call::{Call, NotAdmitted, admit_request};
+use super::claim::{Claimed, claim_request, conclude_claim};
+use super::counted::Counted;
 use super::forward::{Outgoing, forward_request};
 use super::headers::{IDEMPOTENCY_KEY, find_request_id};
 use super::refusal::{Refusal, refuse};
@@ -60,6 +62,25 @@
 async fn run_call(shared: &Arc<Shared>, call: &Call, parts: Parts, body: Body) -> Result<Response<Body>, Refusal> {
     let _request = shared.enter_request();
     shared.policies.count_request(call.pool_name(), call.started);
+    let mut counted = Some(Counted::admit(shared, call));
+    let result = run_counted(shared, call, parts, body, &mut counted).await;
+    if let Some(mut counted) = counted {
+        // The router itself answers. What counts is whether this request ran, and not what is known
+        // of an earlier one with the same idempotency key.
+        counted.finish();
+        counted.release().await;
+        counted.end(true);
+    }
+    result
+}
+
+async fn run_counted(
+    shared: &Arc<Shared>,
+    call: &Call,
+    parts: Parts,
+    body: Body,
+    counted: &mut Option<Counted>,
+) -> Result<Response<Body>, Refusal> {
     let limit = call.route().body_max.0;
     let body = match timeout_at(call.deadline, read_body(body, limit)).await {
         Ok(Ok(body)) => body,
@@ -70,17 +91,21 @@
     let alone = wait_for_standing(shared, fingerprint, call.deadline)
         .await
         .map_err(Refusal::of_suspect)?;
-    forward_request(
-        shared,
-        call,
-        Outgoing {
-            parts,
-            body,
-            fingerprint,
-            alone,
-        },
-    )
-    .await
+    let claimed = claim_request(shared, call, &parts.headers, fingerprint).await?;
+    let outgoing = Outgoing {
+        parts,
+        body,
+        fingerprint,
+        alone,
+    };
+    match claimed {
+        Claimed::Free => forward_request(shared, call, outgoing, counted).await,
+        Claimed::Won(won) => {
+            let result = forward_request(shared, call, outgoing, counted).await;
+            conclude_claim(won, result).await
+        }
+        Claimed::Replay(answer) => Ok(answer),
+    }
 }
 
 /// Hashes what makes a request the same as another one that crashed an upstream.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! Wiring of an entry host: shared state, tasks, graceful shutdown.
 
 mod agreement;
+mod counting;
 mod credits;
 mod flights;
 mod peer_side;
@@ -8,6 +9,7 @@
 mod policies;
 mod proposal;
 mod reader;
+mod registry;
 mod shared;
 mod signals;
 mod suspicion;
@@ -15,11 +17,14 @@
 mod upstream_calls;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use displaydoc::Display;
 use slog::{Logger, info};
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::control::start_operators;
 use crate::entry::start_entry;
@@ -30,11 +35,16 @@
 
 use peer_side::PeerSide;
 
+pub(crate) use counting::ReleaseSignal;
 pub(crate) use credits::{Slot, acquire_alone, acquire_slot};
 pub(crate) use proposal::{Proposal, find_proposal, propose};
+pub(crate) use registry::{WonClaim, claim_key};
 pub(crate) use shared::{InFlight, Shared};
 pub(crate) use suspicion::{WatchedRun, note_restart, wait_for_standing};
 
+/// Longest wait of a planned stop for the log to take the last counters; holders have them too.
+const COUNTS_LIMIT: Duration = Duration::from_secs(5);
+
 /// Why a host can't run.
 #[derive(Debug, Display, Error)]
 pub(crate) enum HostError {
@@ -68,13 +78,19 @@
     let operators = start_operators(&shared, &platform).map_err(HostError::Operators)?;
     info!(log, "listening"; "callers" => server.local_addr().to_string(),
         "operators" => operators.local_addr().to_string(), "peers" => peers.to_string());
-    let reader = tokio::spawn(reader::follow_log(Arc::clone(&shared), platform.clone()));
-    let agreement = tokio::spawn(agreement::run_agreement(Arc::clone(&shared), platform));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(reader::follow_log(Arc::clone(&shared), platform.clone()));
+    tasks.spawn(agreement::run_agreement(Arc::clone(&shared), platform.clone()));
+    tasks.spawn(registry::keep_register(Arc::clone(&shared)));
+    tasks.spawn(counting::replicate_counts(Arc::clone(&shared)));
+    tasks.spawn(counting::follow_counts(Arc::clone(&shared), platform.clone()));
+    tasks.spawn(counting::write_counts(Arc::clone(&shared), platform.clone()));
     signals::wait_for_stop().await;
     stop(&shared, &log).await;
-    reader.abort();
-    agreement.abort();
     server.close().await.ok();
+    let counted = timeout(COUNTS_LIMIT, counting::end_counts(&shared, &platform)).await;
+    info!(log, "counts written"; "complete" => counted == Ok(true));
+    tasks.abort_all();
     operators.close().await.ok();
     info!(log, "stopped");
     Ok(())
@@ -84,7 +100,7 @@
 async fn stop(shared: &Shared, log: &Logger) {
     shared.start_draining();
     info!(log, "draining"; "in_flight" => shared.in_flight());
-    let drained = tokio::time::timeout(shared.settings.timing.shutdown.0, shared.wait_until_idle());
+    let drained = timeout(shared.settings.timing.shutdown.0, shared.wait_until_idle());
     tokio::select! {
         result = drained => info!(log, "drained"; "complete" => result.is_ok()),
         () = signals::wait_for_stop() => info!(log, "second signal, not waiting"),
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -9,10 +9,12 @@
 use tokio::time::Instant;
 
 use super::agreement::Agreement;
+use super::counting::Counting;
 use super::credits::Credits;
 use super::flights::Flights;
 use super::policies::Policies;
 use super::proposal::Outcomes;
+use super::registry::Registry;
 use super::suspicion::Suspicion;
 use super::tail::Tail;
 use super::upstream_calls::UpstreamCalls;
@@ -41,6 +43,8 @@
     pub(crate) flights: Flights,
     pub(crate) policies: Policies,
     pub(crate) suspicion: Suspicion,
+    pub(crate) registry: Registry,
+    pub(crate) counting: Counting,
     pub(crate) tail: Tail,
     state: RwLock<State>,
     outcomes: Mutex<Outcomes>,
@@ -70,6 +74,8 @@
             flights: Flights::default(),
             policies: Policies::new(now),
             suspicion: Suspicion::new(&me, now),
+            registry: Registry::new(me.clone(), settings.limits.register_entries),
+            counting: Counting::new(&me, settings.zone.clone(), now),
             tail: Tail::default(),
             settings,
             me,
@@ -114,10 +120,15 @@
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state();
         let in_service = state.in_service(&self.settings.host, &self.settings.zone);
-        let has_tables = state.tables_version.offset != Offset(0);
+        let has_tables = state.tables_version.offset != Offset(0) && self.counting.is_running(&self.me);
         !self.is_draining() && has_tables && in_service && self.agreement.holds_lease(Instant::now(), &state)
     }
 
+    /// Tells whether this host holds the newest term, as far as it has folded.
+    pub(crate) fn leads(&self) -> bool {
+        self.me.led_term(&self.state()).is_some()
+    }
+
     /// Tells whether this host may route.
     pub(crate) fn holds_lease(&self) -> bool {
         self.agreement.holds_lease(Instant::now(), &self.state())
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -12,7 +12,7 @@
     majority, overlap,
 };
 use crate::fold::Membership;
-use crate::types::{Offset, Reason, RequestId, Verdict, Zone};
+use crate::types::{Offset, Reason, RequestId, Verdict, Zone, value};
 
 /// Time after which an unanswered message is sent again; a call between hosts takes a few
 /// milliseconds.
@@ -36,12 +36,13 @@
     pub(crate) message: ClaimMessage,
 }
 
-/// What a coordinator sends to a register.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum ClaimMessage {
-    Claim(ClaimKey),
-    Settle(SettleKey),
-    Withdraw(WithdrawKey),
+value! {
+    /// What a coordinator sends to a register.
+    pub(crate) enum ClaimMessage {
+        Claim(ClaimKey),
+        Settle(SettleKey),
+        Withdraw(WithdrawKey),
+    }
 }
 
 /// The decision of a claim.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -15,7 +15,10 @@
 
 use super::generated::peers_client::PeersClient;
 use super::server::CREDENTIAL;
-use super::{CreditReport, Heartbeat, HeartbeatAnswer, Lends, Received, SuspectNews};
+use super::{
+    Batch, ClaimMessage, CopyPage, CopyQuestion, CreditReport, Heartbeat, HeartbeatAnswer, HoldAnswer, Lends, Received,
+    RegisterAnswer, SuspectNews,
+};
 use crate::fold::Membership;
 use crate::settings::Secret;
 use crate::types::HostName;
@@ -129,6 +132,9 @@
         exchange_heartbeat(Heartbeat) -> HeartbeatAnswer;
         report_credits(CreditReport) -> Lends;
         lend_credits(Lends) -> Received;
+        claim_key(ClaimMessage) -> RegisterAnswer;
+        copy_register(CopyQuestion) -> CopyPage;
+        hold_counts(Batch) -> HoldAnswer;
         share_suspects(SuspectNews) -> Received;
     }
 }
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -5,8 +5,11 @@
 pub(crate) use crate::admission::Report as CreditReport;
 use crate::admission::{HomeTerm, Lend};
 use crate::choice::SuspectMessage;
+pub(crate) use crate::counts::{Batch, HoldAnswer};
 use crate::log::RawRecord;
 use crate::membership::Report;
+use crate::once::{ClaimAnswer, RequestKey};
+pub(crate) use crate::once::{ClaimMessage, CopyPage};
 use crate::ownership::FreezeAck;
 use crate::placement::LoadReport;
 use crate::types::{PoolName, UpstreamName, value};
@@ -38,6 +41,19 @@
         pub(crate) lends: Vec<Lend>,
     }
 
+    /// A register's answer to a message of a claim.
+    pub(crate) enum RegisterAnswer {
+        Vote(ClaimAnswer),
+        Received,
+        /// The message was not taken and has to be sent again.
+        Again,
+    }
+
+    /// Asks for the page of a register that follows a key.
+    pub(crate) struct CopyQuestion {
+        pub(crate) after: Option<RequestKey>,
+    }
+
     /// Messages about requests that may have crashed upstreams.
     pub(crate) struct SuspectNews {
         pub(crate) messages: Vec<SuspectMessage>,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -18,5 +18,8 @@
 
 pub(crate) use client::{CallError, Peers};
 pub(crate) use codec::PackCodec;
-pub(crate) use messages::{CreditReport, Heartbeat, HeartbeatAnswer, Lends, Received, SuspectNews};
+pub(crate) use messages::{
+    Batch, ClaimMessage, CopyPage, CopyQuestion, CreditReport, Heartbeat, HeartbeatAnswer, HoldAnswer, Lends, Received,
+    RegisterAnswer, SuspectNews,
+};
 pub(crate) use server::{PeerHandler, serve_peers};
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -11,7 +11,10 @@
 use tonic::{Request, Response, Status};
 
 use super::generated::peers_server::{Peers, PeersServer};
-use super::{CreditReport, Heartbeat, HeartbeatAnswer, Lends, Received, SuspectNews};
+use super::{
+    Batch, ClaimMessage, CopyPage, CopyQuestion, CreditReport, Heartbeat, HeartbeatAnswer, HoldAnswer, Lends, Received,
+    RegisterAnswer, SuspectNews,
+};
 use crate::settings::Secret;
 
 /// Largest message, in bytes; a heartbeat with the records that a peer has missed is the largest.
@@ -24,6 +27,9 @@
     fn exchange_heartbeat(&self, message: Heartbeat) -> HeartbeatAnswer;
     fn report_credits(&self, message: CreditReport) -> Lends;
     fn lend_credits(&self, message: Lends);
+    fn claim_key(&self, message: ClaimMessage) -> RegisterAnswer;
+    fn copy_register(&self, message: CopyQuestion) -> CopyPage;
+    fn hold_counts(&self, message: Batch) -> HoldAnswer;
     fn share_suspects(&self, message: SuspectNews);
 }
 
@@ -46,6 +52,18 @@
         Ok(Response::new(Received {}))
     }
 
+    async fn claim_key(&self, request: Request<ClaimMessage>) -> Answer<RegisterAnswer> {
+        Ok(Response::new(self.0.claim_key(request.into_inner())))
+    }
+
+    async fn copy_register(&self, request: Request<CopyQuestion>) -> Answer<CopyPage> {
+        Ok(Response::new(self.0.copy_register(request.into_inner())))
+    }
+
+    async fn hold_counts(&self, request: Request<Batch>) -> Answer<HoldAnswer> {
+        Ok(Response::new(self.0.hold_counts(request.into_inner())))
+    }
+
     async fn share_suspects(&self, request: Request<SuspectNews>) -> Answer<Received> {
         self.0.share_suspects(request.into_inner());
         Ok(Response::new(Received {}))
--- a/standins/tests/processes.rs
+++ b/standins/tests/processes.rs
@@ -211,3 +211,36 @@
     }
     assert!(answers > 0);
 }
+
+/// Guards against a payment that runs twice because its caller sent it again through another host.
+#[test]
+fn a_resent_payment_runs_once() {
+    let deployment = start_deployment();
+    let headers = [("ragworthub-caller", "ventanilla"), ("idempotency-key", "renewal-1")];
+    let pay = |host: &Host| send("POST", host.process.address, "/padrones/pay", &headers, "fee").unwrap();
+    let first = wait_for("a vote of the registers", || {
+        Some(pay(&deployment.hosts[0])).filter(|a| a.status == 200)
+    });
+    for host in &deployment.hosts {
+        let again = pay(host);
+        assert_eq!(
+            (again.status, again.verdict.as_str(), &again.body),
+            (200, "ran", &first.body)
+        );
+    }
+    let other = send(
+        "POST",
+        deployment.hosts[1].process.address,
+        "/padrones/pay",
+        &headers,
+        "other",
+    )
+    .unwrap();
+    assert_eq!((other.status, other.reason.as_str()), (422, "duplicate-mismatch"));
+    let ran: u64 = deployment
+        .padrones
+        .iter()
+        .filter_map(|u| report(u.address)["keys"]["renewal-1"].as_u64())
+        .sum();
+    assert_eq!(ran, 1);
+}
