Keep the last grant to an unpublished upstream known

Cause: the granter forgot an upstream that left the tables, so a host could acknowledge a freeze with a renewal older than the last grant it had sent.

--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -7,6 +7,7 @@
 
 use super::{Grant, GrantedRange, UpstreamClock};
 use crate::fold::State;
+use crate::membership::outlast;
 use crate::settings::Timing;
 use crate::tables::Ownership;
 use crate::types::{Offset, PoolName, Span, UpstreamName};
@@ -70,7 +71,7 @@
 
     /// Gives the grants to send now.
     pub(crate) fn tick(&mut self, now: Instant, state: &State, lease: Option<Instant>) -> Vec<(UpstreamName, Grant)> {
-        self.follow_ranges(state);
+        self.follow_ranges(now, state);
         if lease.is_none_or(|until| now >= until) {
             return Vec::new();
         }
@@ -107,7 +108,7 @@
         sent.unwrap_or(self.started).max(self.started)
     }
 
-    fn follow_ranges(&mut self, state: &State) {
+    fn follow_ranges(&mut self, now: Instant, state: &State) {
         if self.folded == state.folded {
             return;
         }
@@ -131,13 +132,19 @@
                 });
             }
         }
-        self.upstreams.retain(|name, _| {
+        // The last grant to an upstream that was unpublished stays known until it has ended.
+        let ended = |target: &Target| {
+            let sent = target.sent.map(|(reading, _)| reading.received);
+            sent.is_none_or(|at| now >= at + outlast(self.duration.0))
+        };
+        let published = |name: &UpstreamName| {
             state
                 .tables
                 .pools
                 .values()
                 .any(|pool| pool.upstreams.contains_key(name))
-        });
+        };
+        self.upstreams.retain(|name, target| published(name) || !ended(target));
     }
 }
 
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -527,6 +527,16 @@
         self.queue.insert((at, self.serial), item);
     }
 
+    /// A process's own clock; rates differ by up to 1%.
+    fn clock(&self, end: End) -> Instant {
+        let rate = match end {
+            End::Host(i) => 0.995 + 0.005 * f64::from(u8::try_from(i % 3).unwrap()),
+            End::Server(i) => 1.005 - 0.005 * f64::from(u8::try_from(i % 3).unwrap()),
+            End::Log => 1.0,
+        };
+        self.start + (self.now - self.start).mul_f64(rate)
+    }
+
     fn active(&self) -> impl Iterator<Item = &(Duration, Duration, Fault)> {
         let at = self.now - self.start;
         self.faults.iter().filter(move |(from, to, _)| *from <= at && at < *to)
@@ -589,12 +599,12 @@
                 self.runs[i] += 1;
                 self.requests
                     .retain(|serial, _| self.nodes[i].as_ref().is_none_or(|n| !n.flights.contains_key(serial)));
-                self.nodes[i] = (!dead).then(|| Node::new(i, self.runs[i], self.now, self.without));
+                self.nodes[i] = (!dead).then(|| Node::new(i, self.runs[i], self.clock(end), self.without));
                 self.put(self.now, end, end, Message::Tick);
             }
             End::Server(i) => {
                 let run = self.run_of(end) + 1;
-                let grants = UpstreamGrants::new(Incarnation(run), self.now);
+                let grants = UpstreamGrants::new(Incarnation(run), self.clock(end));
                 self.servers[i] = (!dead).then_some(Server { grants, run });
             }
             End::Log => {}
@@ -635,7 +645,7 @@
         }
         let quiet = matches!(message, Message::Served(..) | Message::Alive(..));
         let scripted = self.scripted();
-        let now = self.now;
+        let now = self.clock(end);
         let node = self.nodes[i].as_mut().unwrap();
         let mut sends = node.receive(now, from, message);
         if !quiet {
@@ -668,7 +678,7 @@
     fn answer_waiting(&mut self, reader: End) {
         let (due, rest) = std::mem::take(&mut self.waiting)
             .into_iter()
-            .partition(|(end, _, asked, _)| *end == reader && self.now >= *asked + ms(100));
+            .partition(|(end, _, asked, _)| *end == reader && self.clock(reader) >= *asked + ms(100));
         self.waiting = rest;
         for (reader, run, asked, folded) in due {
             self.end_read(reader, run, asked, folded);
@@ -702,16 +712,17 @@
     /// Sends a request for each key, and gives up those past the deadline.
     fn request(&mut self, i: usize) {
         let now = self.now;
+        let clock = self.clock(End::Host(i));
         let turn = usize::try_from((now - self.start).as_millis() / TICK.as_millis()).unwrap();
         for k in (0..12).filter(|k| (k + i + turn).is_multiple_of(3)) {
             let node = self.nodes[i].as_mut().unwrap();
             let pool = pool(if k < 6 { "f" } else { "u" });
-            match node.gate.begin(now, &node.state, &pool, key(k % 6)) {
+            match node.gate.begin(clock, &node.state, &pool, key(k % 6)) {
                 Ok(pass) => {
                     self.serial += 1;
                     let serial = self.serial;
                     let (to, epoch) = (server_end(&pass.owner), pass.epoch);
-                    node.flights.insert(serial, (now, pass));
+                    node.flights.insert(serial, (clock, pass));
                     let End::Server(server) = to else { unreachable!() };
                     let span = (k >= 6).then(|| {
                         let to = now + self.run_limit.max(ms(300));
@@ -730,7 +741,7 @@
             }
         }
         let node = self.nodes[i].as_mut().unwrap();
-        let late = node.flights.extract_if(.., |_, (at, _)| now >= *at + DEADLINE);
+        let late = node.flights.extract_if(.., |_, (at, _)| clock >= *at + DEADLINE);
         for (serial, (_, pass)) in late {
             node.gate.end(&pass);
             self.requests.remove(&serial);
@@ -742,15 +753,16 @@
             return;
         };
         if let Some(span) = span {
-            self.sent[span].to = self.now;
+            // A paused host reads the answer long after the request has ended.
+            self.sent[span].to = self.sent[span].to.min(self.now);
         }
         self.served.push((self.now, k, usize::from(ran)));
     }
 
     fn deliver_server(&mut self, i: usize, from: End, message: Message) {
-        let Some(server) = self.servers[i].as_mut() else { return };
         let end = End::Server(i);
-        let now = self.now;
+        let now = self.clock(end);
+        let Some(server) = self.servers[i].as_mut() else { return };
         let answer = match message {
             Message::Probe(asked) => Message::Alive(asked, server.grants.read_clock(now)),
             Message::Grant(asked, mut grant) => {
@@ -767,6 +779,9 @@
             // The host closed the connection of an aborted request with a reset.
             Message::Request(serial, ..) if i >= 3 && !self.requests.contains_key(&serial) => return,
             Message::Request(serial, hash, epoch) => {
+                if let Some((_, Some(span))) = self.requests.get(&serial) {
+                    self.sent[*span].to = self.sent[*span].to.max(self.now);
+                }
                 let ran = i >= 3 || server.grants.check_request(now, hash, epoch).is_ok();
                 if i < 3 && ran {
                     self.accepts.push(Accept {
@@ -798,7 +813,11 @@
                 continue;
             };
             for (k, epoch) in (0..6).flat_map(|k| current.iter().map(move |e| (k, *e))) {
-                if server.grants.check_request(self.now, key(k), epoch).is_ok() {
+                if server
+                    .grants
+                    .check_request(self.clock(End::Server(i)), key(k), epoch)
+                    .is_ok()
+                {
                     self.accepts.push(Accept {
                         at: self.now,
                         hash: key(k),
@@ -833,8 +852,9 @@
 
     /// Tells whether a request that arrives at a host now would be accepted.
     fn would_serve(&mut self, i: usize, pool: &PoolName, hash: KeyHash) -> bool {
+        let now = self.clock(End::Host(i));
         let node = self.nodes[i].as_mut().unwrap();
-        let Ok(pass) = node.gate.begin(self.now, &node.state, pool, hash) else {
+        let Ok(pass) = node.gate.begin(now, &node.state, pool, hash) else {
             return false;
         };
         node.gate.end(&pass);
@@ -842,7 +862,10 @@
             unreachable!()
         };
         let grants = &self.servers[server].as_ref().unwrap().grants;
-        server >= 3 || grants.check_request(self.now, hash, pass.epoch).is_ok()
+        server >= 3
+            || grants
+                .check_request(self.clock(End::Server(server)), hash, pass.epoch)
+                .is_ok()
     }
 
     fn leader(&self) -> usize {
