Test interrupted moves, cut-off observers and the upstream's check

Cause: a leader or a new owner lost within a move, and observers that lose a whole pool, were only met by chance in generated faults. Change: a test for each, and one of the grants that an upstream accepts.

--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -1008,6 +1008,133 @@
     }
 }
 
+/// Guards against ranges that stay frozen when the leader that froze them is lost.
+#[test]
+fn new_leader_ends_the_moves_of_the_old_one() {
+    for to in [1, 4] {
+        let mut world = World::settled(5, Without::Nothing);
+        world.fault(3_000, 3_030, Fault::Move(0, to));
+        let frozen = |world: &World| {
+            world
+                .truth
+                .ranges
+                .values()
+                .any(|t| t.iter().any(|r| r.frozen.is_some()))
+        };
+        let at = (3_000..3_100).find(|&millis| {
+            world.run_until(millis);
+            frozen(&world)
+        });
+        world.restart(End::Host(world.leader()), true);
+        world.run_until(at.unwrap() + 20);
+        assert!(frozen(&world));
+        world.run_until(7_000);
+        let gap = world.longest_gap(3_000, 7_000);
+        println!("leader lost in a move: {gap:?}");
+        assert!(gap < ms(1_500), "{gap:?}");
+        world.judge().unwrap();
+    }
+}
+
+/// Guards against ranges that go to an upstream that was lost while they moved.
+#[test]
+fn new_owner_lost_in_a_move_is_replaced() {
+    for (owner, next) in [(0, 1), (3, 4)] {
+        let mut world = World::settled(5, Without::Nothing);
+        world.restart(End::Server(owner), true);
+        world.run_until(3_800);
+        world.restart(End::Server(next), true);
+        world.run_until(9_000);
+        assert!(world.longest_gap(3_000, 9_000) < ms(4_000));
+        world.judge().unwrap();
+    }
+}
+
+/// Guards against observers that are cut off and take that for the loss of a whole pool.
+#[test]
+fn cut_off_observers_declare_no_pool_lost() {
+    let mut world = World::settled(5, Without::Nothing);
+    let before = world.truth.folded;
+    for (i, server) in (0..5).flat_map(|i| (0..6).map(move |s| (i, s))) {
+        world.cut_both(3_000, 6_000, End::Host(i), End::Server(server));
+    }
+    world.run_until(8_000);
+    assert_eq!(world.truth.folded, before);
+
+    let now = world.clock(End::Host(0));
+    let node = world.nodes[0].as_ref().unwrap();
+    let lost = |voters: usize, blind: &[&str], gone: &[&str]| {
+        let mut loss = LossDetector::new(node.me.clone(), &Timing::default());
+        for i in 0..5 {
+            let seen = if i < voters { blind } else { &[] };
+            let sender = world.nodes[i].as_ref().unwrap().me.clone();
+            loss.note_unreachable(now, &sender, seen.iter().map(|n| name(n)).collect());
+        }
+        let gone = gone.iter().map(|host| host.parse().unwrap()).collect();
+        loss.lost(now, &node.state, &node.liveness, &gone).len()
+    };
+    assert_eq!(lost(5, &["f0", "f1", "f2"], &[]), 0);
+    assert_eq!(lost(5, &["f0", "f1", "u0"], &[]), 3);
+    assert_eq!(lost(3, &["f0"], &[]), 1);
+    assert_eq!(lost(2, &["f0"], &[]), 0);
+    assert_eq!(lost(1, &["f0"], &["m0"]), 1);
+    assert_eq!(lost(0, &[], &["m0"]), 0);
+}
+
+/// Guards against an upstream that serves under an ended, revoked or older grant.
+#[test]
+fn upstream_accepts_only_its_newest_grant() {
+    let start = Instant::now();
+    let mut grants = UpstreamGrants::new(Incarnation(1), start);
+    let granted = |first, last, epoch| GrantedRange {
+        range: KeyRange {
+            first: KeyHash(first),
+            last: KeyHash(last),
+        },
+        epoch: Offset(epoch),
+    };
+    let grant = |at: u64, run, range| Grant {
+        pool: pool("f"),
+        from: UpstreamClock {
+            incarnation: Incarnation(run),
+            uptime: Span::from_millis(at),
+        },
+        duration: Span::from_millis(1_500),
+        ranges: vec![range],
+    };
+    let check =
+        |grants: &UpstreamGrants, at, hash, epoch| grants.check_request(start + ms(at), KeyHash(hash), Offset(epoch));
+    let now = start + ms(1_000);
+    assert_eq!(
+        grants.accept_grant(now, &grant(900, 2, granted(0, 9, 5))),
+        Err(GrantRefusal::ForeignClock)
+    );
+    assert_eq!(
+        grants.accept_grant(now, &grant(1_001, 1, granted(0, 9, 5))),
+        Err(GrantRefusal::ForeignClock)
+    );
+    assert_eq!(check(&grants, 1_000, 3, 5), Err(GrantRefusal::NotGranted));
+    grants.accept_grant(now, &grant(900, 1, granted(0, 9, 5))).unwrap();
+    assert_eq!(check(&grants, 2_399, 9, 5), Ok(()));
+    assert_eq!(check(&grants, 2_400, 9, 5), Err(GrantRefusal::Expired));
+    assert_eq!(check(&grants, 1_000, 10, 5), Err(GrantRefusal::NotGranted));
+    grants.accept_grant(now, &grant(950, 1, granted(4, 6, 7))).unwrap();
+    grants.accept_grant(now, &grant(1_000, 1, granted(0, 9, 5))).unwrap();
+    assert_eq!(check(&grants, 1_000, 4, 5), Err(GrantRefusal::OtherEpoch));
+    assert_eq!(check(&grants, 1_000, 6, 7), Ok(()));
+    assert_eq!(check(&grants, 1_000, 7, 5), Ok(()));
+    grants.revoke(&Revoke {
+        pool: pool("f"),
+        freeze: Offset(8),
+        ranges: vec![granted(0, 9, 5)],
+    });
+    grants.accept_grant(now, &grant(1_000, 1, granted(0, 9, 5))).unwrap();
+    assert_eq!(check(&grants, 1_000, 7, 5), Err(GrantRefusal::Expired));
+    assert_eq!(check(&grants, 1_000, 6, 7), Ok(()));
+    grants.accept_grant(now, &grant(1_000, 1, granted(0, 9, 9))).unwrap();
+    assert_eq!(check(&grants, 1_000, 7, 9), Ok(()));
+}
+
 /// An unfenced upstream freezes and wakes with unread requests in its sockets.
 #[test]
 fn woken_unfenced_upstream_reads_no_aborted_request() {
