Drop planned moves whose target is lost before the freeze

Cause: a move to an upstream that was lost after the plan still froze its range, only to give it back; a first assignment could even go to a lost upstream. Ruled out: waiting for the next plan, which need not repeat the move. Change: such jobs are dropped unless their range is already frozen. Conclusion: moves under way are still redirected as tested.

--- a/src/ownership/mover.rs
+++ b/src/ownership/mover.rs
@@ -210,16 +210,22 @@
         }
     }
 
-    /// Drops jobs that are done, and planned ones whose range has meanwhile another owner.
+    /// Drops jobs that are done, whose range has meanwhile another owner, or whose target became
+    /// unusable before the range was frozen.
     fn drop_jobs(&mut self, view: &View<'_>) {
         self.jobs.retain(|(pool, _), job| {
             let Some(table) = view.state.ranges.get(pool) else {
                 return false;
             };
-            let mut parts = overlapping(table, job.range).peekable();
+            let usable = view.is_usable(pool, &job.to);
+            let parts: Vec<RangeInfo<'_>> = overlapping(table, job.range).collect();
             match &job.from {
-                None => parts.peek().is_none(),
-                Some(from) => parts.peek().is_some() && parts.all(|part| part.owner == from),
+                None => usable && parts.is_empty(),
+                Some(from) => {
+                    let under_way = parts.iter().any(|part| part.frozen.is_some());
+                    let owned = !parts.is_empty() && parts.iter().all(|part| part.owner == from);
+                    owned && (usable || under_way)
+                }
             }
         });
     }
