Test the planner and measure cost slopes

Cause: the planner had no tests and the cost bounds of the decision code no measure.

Ruled out: a hot key that may only move where it fits under the target's share. With one range of two hot keys, the planner then sheds cold ranges at 1% of the space per 10 s, which takes minutes for a large excess.

Change: property and example tests; a hot key may overfill a steady target if the pair ends up better; full sketches take one request in 8; the churn of a zone counts against the keys that it owned; the churn of a loss after the hot keys changed; `measures slopes`.

--- a/src/measure/placement.rs
+++ b/src/measure/placement.rs
@@ -84,14 +84,16 @@
     ShiftImbalance,
     /// Keys that moved within two minutes of a loss, times the number of servers.
     LossChurn,
-    /// Keys that moved when a zone was taken out, over the zone's part of the servers.
+    /// The same after the hot keys changed, when servers own unequal parts of the space.
+    HotLossChurn,
+    /// Keys that moved when a zone was taken out, over the part that the zone owned.
     ZoneOutChurn,
     /// Imbalance among the rest while the zone is out.
     ZoneOutImbalance,
-    /// Keys that moved within ten minutes of its return, over the zone's part.
+    /// Keys that moved within ten minutes of its return, over that part.
     ZoneBackChurn,
     ZoneBackImbalance,
-    /// Keys that moved over two outages of 15 s with 20 s between, over the zone's part.
+    /// Keys that moved over two outages of 15 s with 20 s between, over that part.
     ZoneFlapChurn,
     /// Ranges per server at the end of a run in which the hot keys changed five times.
     TableGrowth,
@@ -104,6 +106,7 @@
             Self::HotImbalance => ("imbalance, 120 s after hot keys change", Some(1.25)),
             Self::ShiftImbalance => ("imbalance, hot keys just changed", None),
             Self::LossChurn => ("churn of a loss x n", Some(1.1)),
+            Self::HotLossChurn => ("churn of a loss x n, hot keys", Some(1.1)),
             Self::ZoneOutChurn => ("churn of a zone leaving / its share", Some(1.0)),
             Self::ZoneOutImbalance => ("imbalance of the rest, zone out", None),
             Self::ZoneBackChurn => ("churn of its return / its share", Some(1.0)),
@@ -265,6 +268,12 @@
         max_over_mean(loads.values().copied())
     }
 
+    /// Part of the keys that a zone owns.
+    fn zone_share(&self, zone: &str) -> f64 {
+        let within = |name: &&UpstreamName| self.pool.upstreams[*name].zone.as_str() == zone;
+        to_f64(self.owners.iter().filter(within).count()) / to_f64(KEYS)
+    }
+
     /// Brings a zone back in slow start and lets the ramp end.
     fn return_zone(&mut self, zone: &str, slots: u32) {
         for limit in 1..slots {
@@ -300,21 +309,26 @@
 }
 
 fn measure_loss(deployment: Deployment, seed: u64, figures: &mut Figures) {
+    let n = to_f64(deployment.servers);
+    let lost = usize::try_from(seed).unwrap_or(0) % deployment.servers;
     let mut run = Run::start(deployment, seed);
     run.take_churn();
-    let lost = usize::try_from(seed).unwrap_or(0) % deployment.servers;
     run.pool.set_state(lost, UpstreamState::Lost);
     run.pass(120);
-    figures.add(
-        Measure::LossChurn,
-        PLANNER,
-        run.take_churn() * to_f64(deployment.servers),
-    );
+    figures.add(Measure::LossChurn, PLANNER, run.take_churn() * n);
+
+    let mut run = Run::start(deployment, seed);
+    run.keys.change_hot(&mut run.rng);
+    run.pass(180);
+    run.take_churn();
+    run.pool.set_state(lost, UpstreamState::Lost);
+    run.pass(120);
+    figures.add(Measure::HotLossChurn, PLANNER, run.take_churn() * n);
 }
 
 fn measure_zone(deployment: Deployment, seed: u64, figures: &mut Figures) {
     let mut run = Run::start(deployment, seed);
-    let share = zone_share(deployment);
+    let share = run.zone_share("zone-0");
     run.take_churn();
     run.pool.set_zone("zone-0", UpstreamState::Out);
     run.pass(60);
@@ -328,6 +342,7 @@
 
 fn measure_flap(deployment: Deployment, seed: u64, figures: &mut Figures) {
     let mut run = Run::start(deployment, seed);
+    let share = run.zone_share("zone-0");
     run.take_churn();
     for _ in 0..2 {
         run.pool.set_zone("zone-0", UpstreamState::Lost);
@@ -335,16 +350,7 @@
         run.return_zone("zone-0", deployment.slots);
         run.pass(20);
     }
-    figures.add(
-        Measure::ZoneFlapChurn,
-        PLANNER,
-        run.take_churn() / zone_share(deployment),
-    );
-}
-
-/// Part of the servers that the first zone has.
-fn zone_share(deployment: Deployment) -> f64 {
-    to_f64(deployment.servers.div_ceil(3)) / to_f64(deployment.servers)
+    figures.add(Measure::ZoneFlapChurn, PLANNER, run.take_churn() / share);
 }
 
 fn measure_baselines(deployment: Deployment, seed: u64, figures: &mut Figures) {
@@ -364,7 +370,8 @@
             let after = baseline.place(&keys.hashes, servers);
             to_f64(after.iter().zip(&before).filter(|(a, b)| a != b).count()) / to_f64(KEYS)
         };
-        let zone_churn = churn(&other_zones) / zone_share(deployment);
+        let owned = before.iter().filter(|s| *s % 3 == 0).count();
+        let zone_churn = churn(&other_zones) * to_f64(KEYS) / to_f64(owned);
         figures.add(Measure::EvenImbalance, name, static_imbalance(&before, &keys));
         figures.add(Measure::LossChurn, name, churn(&rest) * to_f64(deployment.servers));
         figures.add(Measure::ZoneOutChurn, name, zone_churn);
--- a/src/placement/balance.rs
+++ b/src/placement/balance.rs
@@ -11,6 +11,8 @@
 const PIECE_MIN: f64 = 1.0 / 256.0;
 /// Part of an upstream's share from which a hot hash is worth a range of its own.
 const HOT_MIN: f64 = 1.0 / 32.0;
+/// Part of an upstream's share by which a move that overfills its target must improve the pair.
+const GAIN_MIN: f64 = 0.02;
 
 /// Plans moves for balance, hottest pieces first, within the budget.
 pub(super) fn balance_loads(now: Instant, board: &mut Board, history: &mut History, limits: &Limits) -> Vec<RangeMove> {
@@ -30,8 +32,8 @@
         };
         board.nodes[source].load -= piece.load;
         board.nodes[target].load += piece.load;
-        round.rank(board, source);
-        round.rank(board, target);
+        round.rank(board, source, limits);
+        round.rank(board, target, limits);
         history.note_move(now, piece.range, limits);
         left -= 1;
         moves.push(RangeMove {
@@ -92,10 +94,12 @@
     }
 
     /// Updates the ratios of an upstream that gave or took a piece.
-    fn rank(&mut self, board: &Board, i: usize) {
+    fn rank(&mut self, board: &Board, i: usize, limits: &Limits) {
         let node = &board.nodes[i];
+        let ratio = node.load / (node.slots * self.mean);
+        self.overloaded[i] |= ratio > limits.overload;
         if self.sources.contains(i) {
-            self.sources.set(i, node.load / (node.slots * self.mean));
+            self.sources.set(i, ratio);
         }
         if self.targets.contains(i) {
             self.targets.set(i, node.load / (node.ramp * self.mean));
@@ -118,11 +122,20 @@
         let room = to.ramp * self.mean * fill - to.load;
         let excess = from.load - share * (2.0 - limits.fill);
         let most = room.min(excess);
+        // A hot key may push a steady upstream above its share if both end up better than the
+        // source was: it costs no budget, while the cold ranges beside it would take minutes.
+        let steady = to.ramp >= to.slots && self.overloaded[source];
+        let even = (from.load * to.slots - to.load * from.slots) / (from.slots + to.slots);
+        let hottest = if steady {
+            most.max(even - share * GAIN_MIN)
+        } else {
+            most
+        };
         let least = share * PIECE_MIN;
         let width = history.width_left(limits);
         self.fill_pieces(board, source, share, limits);
         let pieces = self.pieces[source].as_mut()?;
-        let fits = |p: &Piece| p.load <= most && p.load >= least && p.range.width() <= width;
+        let fits = |p: &Piece| p.load <= hottest && p.load >= least && p.range.width() <= width;
         if let Some(i) = pieces.iter().position(fits) {
             return Some(pieces.remove(i));
         }
--- a/src/placement/loads.rs
+++ b/src/placement/loads.rs
@@ -12,6 +12,9 @@
 /// Ranges with a lower rate (requests/s) are forgotten, so that ranges that no longer exist don't
 /// fill the memory.
 const RATE_MIN: f64 = 0.001;
+/// One of this many requests updates a full sketch, with as many times the weight. Each update
+/// costs several tree operations, which would otherwise be most of the cost of a decision.
+const SAMPLING: u32 = 8;
 
 /// Decaying loads that a host measures for one pool.
 ///
@@ -54,7 +57,7 @@
         }
         let weight = cost * self.age(now).exp();
         *self.ranges.entry(range).or_insert(0.0) += weight;
-        self.sketch.add(hash, weight);
+        self.sketch.sample(hash, weight);
     }
 
     /// Reports the loads of the `most` hottest ranges and of hot hashes.
@@ -117,6 +120,8 @@
     counters: BTreeMap<KeyHash, Counter>,
     /// Counters by weight; weights are not negative, so their bits are in order.
     order: BTreeSet<(u64, KeyHash)>,
+    /// State of the generator that picks samples.
+    random: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -131,6 +136,24 @@
             capacity: capacity.max(1),
             counters: BTreeMap::new(),
             order: BTreeSet::new(),
+            random: 0,
+        }
+    }
+
+    /// Adds a weight, or, once the sketch is full, a sample of them.
+    fn sample(&mut self, hash: KeyHash, weight: f64) {
+        if self.counters.len() < self.capacity {
+            self.add(hash, weight);
+            return;
+        }
+        // Multiplier and increment of Knuth's MMIX generator; a plain count could follow the
+        // rhythm of the requests.
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        if self.random >> 32 < (1 << 32) / u64::from(SAMPLING) {
+            self.add(hash, weight * f64::from(SAMPLING));
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,9 @@
 mod merge;
 mod orphans;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use history::History;
 pub(crate) use loads::{LoadReport, LoadTable};
 
