--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -66,8 +66,13 @@
     /// Attributes reported loads to pieces, and estimates what is missing.
     fn spread_loads(&mut self, limits: &Limits) {
         let mut known = vec![false; self.pieces.len()];
+        let mut start = 0;
         for (&range, &rate) in &self.loads.ranges {
-            self.spread_report(range, rate, &mut known);
+            // Reports are in the order of their first hashes, so the pieces are walked once.
+            while self.pieces.get(start).is_some_and(|p| p.range.last < range.first) {
+                start += 1;
+            }
+            self.spread_report(range, rate, start, &mut known);
         }
         let parts = || self.pieces.iter().zip(&known).filter(|&(_, &k)| k);
         let load: f64 = parts().map(|(p, _)| p.load).sum();
@@ -86,9 +91,11 @@
     }
 
     /// Attributes the load of a reported range, which may differ from the present ranges.
-    fn spread_report(&mut self, range: KeyRange, rate: f64, known: &mut [bool]) {
-        let start = self.pieces.partition_point(|p| p.range.last < range.first);
-        let count = self.pieces[start..].partition_point(|p| p.range.first <= range.last);
+    ///
+    /// `start` is the first piece that doesn't end before it.
+    fn spread_report(&mut self, range: KeyRange, rate: f64, start: usize, known: &mut [bool]) {
+        let within = self.pieces[start..].iter().take_while(|p| p.range.first <= range.last);
+        let count = within.count();
         let parts = &mut self.pieces[start..start + count];
         known[start..start + count].fill(true);
         if let [piece] = parts {
@@ -169,8 +176,12 @@
     history: &History,
 ) -> Vec<Piece<'a>> {
     let pending: BTreeMap<KeyHash, &RangeMove> = input.pending.iter().map(|m| (m.range.first, m)).collect();
+    // Owners of the table are interned, so a name is looked up once by its place in memory.
+    let mut known: BTreeMap<*const UpstreamName, Option<usize>> = BTreeMap::new();
     let mut pieces = Vec::with_capacity(input.ranges.len());
     for info in input.ranges.iter() {
+        let place = std::ptr::from_ref(info.owner);
+        let owner = *known.entry(place).or_insert_with(|| index.get(info.owner).copied());
         for (range, planned) in cut_pending(info.range, &pending) {
             // A pending move to an upstream that fell away meanwhile is planned anew.
             let target = planned.and_then(|m| index.get(&m.to).copied());
@@ -179,7 +190,7 @@
             pieces.push(Piece {
                 range,
                 from: info.owner,
-                owner: target.or_else(|| index.get(info.owner).copied()),
+                owner: target.or(owner),
                 load: 0.0,
                 movable: planned.is_none() && info.frozen.is_none() && !history.is_held(range),
                 stuck,
@@ -194,6 +205,9 @@
     range: KeyRange,
     pending: &BTreeMap<KeyHash, &'m RangeMove>,
 ) -> Vec<(KeyRange, Option<&'m RangeMove>)> {
+    if pending.is_empty() {
+        return vec![(range, None)];
+    }
     let before = pending.range(..range.first).next_back().map(|(_, m)| *m);
     let within = pending.range(range.first..=range.last).map(|(_, m)| *m);
     let mut parts = Vec::new();
@@ -231,7 +245,8 @@
 pub(super) struct Ranking {
     /// Ratios are not negative, so their bits are in order.
     order: BTreeSet<(u64, usize)>,
-    ratios: BTreeMap<usize, u64>,
+    /// Bits of the ratio by upstream; `None` if it is not ranked.
+    ratios: Vec<Option<u64>>,
 }
 
 impl Ranking {
@@ -239,18 +254,21 @@
     pub(super) fn set(&mut self, node: usize, ratio: f64) {
         self.remove(node);
         let bits = ratio.max(0.0).to_bits();
-        self.ratios.insert(node, bits);
+        if self.ratios.len() <= node {
+            self.ratios.resize(node + 1, None);
+        }
+        self.ratios[node] = Some(bits);
         self.order.insert((bits, node));
     }
 
     pub(super) fn remove(&mut self, node: usize) {
-        if let Some(bits) = self.ratios.remove(&node) {
+        if let Some(bits) = self.ratios.get_mut(node).and_then(Option::take) {
             self.order.remove(&(bits, node));
         }
     }
 
     pub(super) fn contains(&self, node: usize) -> bool {
-        self.ratios.contains_key(&node)
+        self.ratios.get(node).is_some_and(Option::is_some)
     }
 
     pub(super) fn lowest(&self) -> Option<(f64, usize)> {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -231,6 +231,19 @@
     assert!(widths.values().all(|w| (0.85..1.1).contains(&(w * 14.0))), "{widths:?}");
 }
 
+/// Guards against ranges without a report that count as idle and draw more load to their owner.
+#[test]
+fn missing_loads_are_estimated() {
+    let mut pool = assigned(9);
+    let owner = pool.upstreams.keys().next().unwrap().clone();
+    let mut loads = noisy(&pool, 9_000.0, 0.0, 0);
+    let silent = pool.ranges.iter().filter(|info| *info.owner == owner).step_by(2);
+    for info in silent {
+        loads.ranges.remove(&info.range);
+    }
+    assert_eq!(pool.step(&loads), []);
+}
+
 /// Guards against a cold server that gets its whole share at once.
 #[test]
 fn ramp_bounds_returning_server() {
@@ -256,6 +269,9 @@
     for _ in 0..2 {
         pool.set_state(0, UpstreamState::Lost);
         pool.step(&LoadReport::default());
+        // Taken out while it is away, which is no second loss.
+        pool.set_state(0, UpstreamState::Out);
+        pool.step(&LoadReport::default());
         pool.set_state(0, UpstreamState::Serving);
         pool.step(&LoadReport::default());
     }
