Fit the measures to the base of a freeze

Cause: the fold checks the offset that a freeze builds on, and the measures and the planner's tests were written before it. Ruled out: a default base, which would hide a missing one. Change: both name a base.

--- a/src/measure/slopes.rs
+++ b/src/measure/slopes.rs
@@ -296,6 +296,7 @@
         let frozen = Offset(state.folded.0 + 1 + 2 * i as u64);
         let owner = upstream(rng.random_range(0..sizes.upstreams));
         let freeze = Record::Freeze {
+            base: Offset(u64::MAX),
             term,
             pool: pool.clone(),
             ranges: vec![range],
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -370,7 +370,7 @@
     let info = pool.ranges.iter().next().unwrap();
     let (range, owner) = (info.range, info.owner.clone());
     let offset = pool.next_offset();
-    pool.ranges.freeze_ranges(offset, &[range]).unwrap();
+    pool.ranges.freeze_ranges(offset, offset, &[range]).unwrap();
     let moves = pool.plan(&LoadReport::default(), &[]);
     let expected = RangeMove {
         range,
