--- a/src/counts/tests.rs
+++ b/src/counts/tests.rs
@@ -184,6 +184,7 @@
                 version,
                 members: BTreeMap::new(),
                 settled: true,
+                founder: None,
             },
             log: Vec::new(),
             fold: CountsState::default(),
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::records::{BadRecord, Envelope, Record, ServiceTarget, decode_record};
 use crate::tables::{Tables, UnknownTarget, check_service_target};
-use crate::types::{HostName, Incarnation, Offset, PoolName, Zone, value};
+use crate::types::{HostName, Incarnation, Instance, Offset, PoolName, Zone, value};
 
 mod owners;
 mod ranges;
@@ -60,6 +60,8 @@
         pub(crate) members: BTreeMap<HostName, Member>,
         /// The last change can no longer be missed by a majority, so another may follow.
         pub(crate) settled: bool,
+        /// The host that began the membership; its registers need no copy from others.
+        pub(crate) founder: Option<Instance>,
     }
 
     /// An entry host in the membership.
@@ -174,14 +176,21 @@
                 address,
             } => {
                 self.check_membership(*base)?;
-                let member = Member {
-                    incarnation: *incarnation,
-                    zone: zone.clone(),
-                    address: *address,
-                };
-                self.membership.join(host, member)?;
+                self.membership.join(host, Member::new(*incarnation, zone, *address))?;
                 self.membership.version = version();
             }
+            Record::Reform {
+                base,
+                host,
+                incarnation,
+                zone,
+                address,
+            } => {
+                check_base(&self.membership.version, *base)?;
+                self.membership.reform(host, Member::new(*incarnation, zone, *address));
+                self.membership.version = version();
+                self.leader.host = None;
+            }
             Record::Evict {
                 base,
                 term,
@@ -358,11 +367,28 @@
         if self.members.contains_key(host) {
             return Err(Outcome::Rejected(Rejection::AlreadyMember));
         }
-        self.settled = self.members.is_empty();
+        let is_first = self.members.is_empty();
+        if is_first {
+            self.founder = Some(Instance {
+                host: host.clone(),
+                incarnation: member.incarnation,
+            });
+        }
+        self.settled = is_first;
         self.members.insert(host.clone(), member);
         Ok(())
     }
 
+    /// Replaces all members by one.
+    fn reform(&mut self, host: &HostName, member: Member) {
+        self.founder = Some(Instance {
+            host: host.clone(),
+            incarnation: member.incarnation,
+        });
+        self.members = BTreeMap::from([(host.clone(), member)]);
+        self.settled = true;
+    }
+
     fn settle(&mut self, change: Offset) -> Result<(), Outcome> {
         if change != self.version.offset {
             return Err(Outcome::Rejected(Rejection::NotLastChange));
@@ -372,6 +398,16 @@
     }
 }
 
+impl Member {
+    fn new(incarnation: Incarnation, zone: &Zone, address: SocketAddr) -> Self {
+        Self {
+            incarnation,
+            zone: zone.clone(),
+            address,
+        }
+    }
+}
+
 impl Service {
     fn set(&mut self, target: &ServiceTarget, in_service: bool) {
         if in_service {
--- a/src/fold/tests.rs
+++ b/src/fold/tests.rs
@@ -460,6 +460,30 @@
     assert_eq!(info.frozen, Some(state.tables_version.offset));
 }
 
+/// Guards against a membership whose hosts are all gone and that no record can replace, and against
+/// a replacement on an outdated membership.
+#[test]
+fn a_membership_can_be_reformed() {
+    let mut state = last_state(&[Op::Join(0), Op::Join(1)]);
+    let reform = |base| {
+        envelope(Record::Reform {
+            base,
+            host: host(7),
+            incarnation: Incarnation(70),
+            zone: "a".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+        })
+    };
+    let current = state.membership.version.offset;
+    let next = |state: &State| Offset(state.folded.0 + 1);
+    let old = state.apply(next(&state), &reform(Offset(current.0 - 1)));
+    assert!(matches!(old, Outcome::Conflict { .. }), "{old:?}");
+    assert_eq!(state.apply(next(&state), &reform(current)), Outcome::Applied);
+    assert_eq!(state.membership.members.keys().collect::<Vec<_>>(), [&host(7)]);
+    assert_eq!(state.membership.founder.as_ref().map(|f| &f.host), Some(&host(7)));
+    assert!(state.membership.settled && state.leader.host.is_none());
+}
+
 /// Guards against a join that is told to try again on the version that it was written for.
 #[test]
 fn members_join_once() {
--- a/src/host/agreement.rs
+++ b/src/host/agreement.rs
@@ -51,6 +51,9 @@
     unreachable: BTreeSet<UpstreamName>,
     heartbeat_sent: Option<Instant>,
     was_leading: Option<Offset>,
+    register_votes: bool,
+    /// Offset of the state that this host last wrote as a snapshot.
+    snapshot: Offset,
 }
 
 /// What a round of decisions asks the process to do.
@@ -63,6 +66,8 @@
     aborts: Vec<(PoolName, PassId)>,
     heartbeat: Option<Heartbeat>,
     live: Vec<HostName>,
+    /// Parts of a snapshot, to be appended in order.
+    snapshot: Vec<Record>,
 }
 
 impl Agreement {
@@ -86,6 +91,8 @@
             unreachable: BTreeSet::new(),
             heartbeat_sent: None,
             was_leading: None,
+            register_votes: false,
+            snapshot: Offset(0),
             me,
         };
         Self {
@@ -158,6 +165,7 @@
             folded: state.folded,
             leads: self.election.acting_term(now, state, &self.liveness),
             has_lease: self.lease.holds(now, state),
+            register_votes: self.register_votes,
         };
         let acks = self.gate.acks(now, state, &self.granter);
         Heartbeat {
@@ -204,7 +212,8 @@
             self.mover.note_ack(now, &me, &ack);
         }
         round.appends.extend(self.election.tick(now, state, &self.liveness));
-        self.move_ranges(now, state, cold, &mut round);
+        let retention = settings.platform.retention_records;
+        self.move_ranges(now, state, cold, retention, &mut round);
         round.live = self.live_members(now, state, settings.timing.detection.0);
         let due = |sent| now >= sent + settings.timing.heartbeat.0;
         // A freeze waits for every host, so its acknowledgement doesn't wait for the next heartbeat.
@@ -217,7 +226,14 @@
         round
     }
 
-    fn move_ranges(&mut self, now: Instant, state: &State, cold: &BTreeMap<UpstreamName, u32>, round: &mut Round) {
+    fn move_ranges(
+        &mut self,
+        now: Instant,
+        state: &State,
+        cold: &BTreeMap<UpstreamName, u32>,
+        retention: u64,
+        round: &mut Round,
+    ) {
         let term = self.election.acting_term(now, state, &self.liveness);
         let lost = self.losses.lost(now, state, &self.liveness, &self.leaving);
         if self.was_leading != term {
@@ -238,6 +254,20 @@
             }
         }
         self.was_leading = term;
+        if let Some(term) = term {
+            round.snapshot = self.take_snapshot(state, term, retention);
+        }
+    }
+
+    /// Writes the state if half of the retention has passed; one that is lost on the way is written
+    /// again after another eighth.
+    fn take_snapshot(&mut self, state: &State, term: Offset, retention: u64) -> Vec<Record> {
+        let tried = self.snapshot.0 + retention / 8;
+        if !state.snapshot_due(retention) || state.folded.0 < tried {
+            return Vec::new();
+        }
+        self.snapshot = state.folded;
+        state.take_snapshot(term)
     }
 
     /// Members that can run a broker: this host and those heard lately with a routing lease.
@@ -266,6 +296,7 @@
             let state = shared.state();
             shared.peers.set_members(&state.membership);
             let cold = shared.credits.cold_limits();
+            shared.agreement.lock().register_votes = shared.registry.is_voting();
             shared
                 .agreement
                 .lock()
@@ -280,6 +311,14 @@
 }
 
 fn carry_out(shared: &Arc<Shared>, log: &impl Log, round: Round) {
+    if !round.snapshot.is_empty() {
+        let (shared, log) = (Arc::clone(shared), log.clone());
+        tokio::spawn(async move {
+            for part in round.snapshot {
+                append(Arc::clone(&shared), log.clone(), part).await;
+            }
+        });
+    }
     for record in round.appends {
         tokio::spawn(append(Arc::clone(shared), log.clone(), record));
     }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -4,6 +4,7 @@
 mod counting;
 mod credits;
 mod flights;
+mod host_list;
 mod peer_side;
 mod planner;
 mod policies;
@@ -85,6 +86,9 @@
     tasks.spawn(counting::replicate_counts(Arc::clone(&shared)));
     tasks.spawn(counting::follow_counts(Arc::clone(&shared), platform.clone()));
     tasks.spawn(counting::write_counts(Arc::clone(&shared), platform.clone()));
+    if let Some(hosts) = shared.settings.platform.hosts {
+        tasks.spawn(host_list::follow_hosts(Arc::clone(&shared), hosts));
+    }
     signals::wait_for_stop().await;
     stop(&shared, &log).await;
     server.close().await.ok();
--- a/src/host/reader.rs
+++ b/src/host/reader.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::time::{Instant, sleep};
 
 use super::Shared;
-use crate::fold::Outcome;
+use crate::fold::{Outcome, SnapshotReader};
 use crate::log::{Log, RawRecord, ReadError, STATE_STREAM};
 use crate::records::decode_record;
 use crate::types::Offset;
@@ -29,10 +29,14 @@
                 fold_records(&shared, folded, &batch.records);
                 shared.agreement.note_read(asked, &shared.state(), batch.next);
             }
-            Err(error) => {
-                if error == ReadError::Expired {
-                    warn!(shared.log, "log no longer keeps the next record"; "folded" => folded.0);
+            Err(ReadError::Expired(oldest)) => {
+                info!(shared.log, "restarting from a snapshot"; "folded" => folded.0, "oldest" => oldest.0);
+                if !restore_snapshot(&shared, &log, oldest).await {
+                    warn!(shared.log, "no complete snapshot in the log"; "oldest" => oldest.0);
+                    sleep(RETRY_PAUSE).await;
                 }
+            }
+            Err(error) => {
                 debug!(shared.log, "log read failed"; "error" => error.to_string());
                 sleep(RETRY_PAUSE).await;
             }
@@ -40,6 +44,29 @@
     }
 }
 
+/// Replaces the state by the newest complete snapshot in the log.
+///
+/// Returns whether a newer state was found.
+async fn restore_snapshot(shared: &Shared, log: &impl Log, oldest: Offset) -> bool {
+    let mut snapshot = SnapshotReader::new(oldest);
+    let mut from = oldest;
+    loop {
+        let Ok(batch) = log.read(STATE_STREAM, from, Duration::ZERO).await else {
+            return false;
+        };
+        let Some(last) = batch.records.last() else { break };
+        from = Offset(last.offset.0 + 1);
+        for record in &batch.records {
+            if let Ok(envelope) = decode_record(&record.data) {
+                snapshot.add(record.offset, &envelope);
+            }
+        }
+    }
+    let mut restored = false;
+    shared.change_state(|state| restored = snapshot.restore(state));
+    restored
+}
+
 /// Folds records that follow `folded`, from the log or from a peer.
 pub(super) fn fold_records(shared: &Shared, folded: Offset, records: &[RawRecord]) {
     // A gap would fold later records on a state that misses earlier ones.
--- a/src/host/registry.rs
+++ b/src/host/registry.rs
@@ -29,6 +29,7 @@
 /// This host's register.
 #[derive(Debug)]
 pub(crate) struct Registry {
+    me: Instance,
     register: Mutex<Register>,
 }
 
@@ -56,6 +57,7 @@
             withdrawn: WITHDRAWN_MAX,
         };
         Self {
+            me: me.clone(),
             register: Mutex::new(Register::new(me, limits)),
         }
     }
@@ -83,9 +85,7 @@
         let mut register = self.lock();
         register.set_members(membership, now);
         register.expire(now);
-        // A sole member that doesn't vote is the first one ever: an earlier leader that evicted
-        // all others votes.
-        if membership.members.len() == 1 && !register.is_voting() {
+        if membership.founder.as_ref() == Some(&self.me) && !register.is_voting() {
             register.accept_loss();
         }
     }
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -164,8 +164,8 @@
     }
 }
 
-/// Draws the number of this run of the process; a later run must not repeat it.
+/// Gives the number of this run of the process, which must be higher than that of an earlier run.
 fn draw_incarnation() -> Incarnation {
-    let (high, _) = uuid::Uuid::new_v4().as_u64_pair();
-    Incarnation(high)
+    let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    Incarnation(u64::try_from(since.as_micros()).unwrap_or(0))
 }
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::types::{Offset, value};
+use crate::types::{HostName, Offset, value};
 
 /// Stream of the records that the hosts fold.
 pub(crate) const STATE_STREAM: &str = "ragworthub";
@@ -81,12 +81,41 @@
 /// Why a read failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub(crate) enum ReadError {
-    /// the log no longer keeps the offset
-    Expired,
+    /// the log no longer keeps the offset, its oldest record is {0}
+    Expired(Offset),
     /// the log did not answer: {0}
     Unavailable(String),
 }
 
+value! {
+    /// A host in the platform's list.
+    #[derive(Eq)]
+    pub(crate) struct ListedHost {
+        pub(crate) host: HostName,
+        pub(crate) state: HostState,
+    }
+
+    /// What the platform says of a host; it lags.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub(crate) enum HostState {
+        Live,
+        Leaving,
+    }
+}
+
+/// Reads the platform's list of hosts.
+///
+/// # Errors
+///
+/// Fails if the list can't be read.
+pub(crate) async fn read_hosts(address: SocketAddr) -> Result<Vec<ListedHost>, ReadError> {
+    let request = build_request(Method::GET, &format!("http://{address}/v1/hosts"), Bytes::new());
+    let answer = HttpLog::new(address).call(request, CALL_LIMIT).await;
+    let (_, body) = answer.map_err(ReadError::Unavailable)?;
+    serde_json::from_slice(&body).map_err(|e| ReadError::Unavailable(e.to_string()))
+}
+
 /// The log over HTTP.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpLog {
@@ -94,6 +123,11 @@
     address: SocketAddr,
 }
 
+#[derive(Deserialize)]
+struct Gone {
+    oldest: Offset,
+}
+
 #[derive(Deserialize)]
 struct Appended {
     offset: Offset,
@@ -160,7 +194,13 @@
             .map_err(ReadError::Unavailable)?;
         match status {
             StatusCode::OK => serde_json::from_slice(&body).map_err(|e| ReadError::Unavailable(e.to_string())),
-            StatusCode::GONE => Err(ReadError::Expired),
+            StatusCode::GONE => {
+                let gone = serde_json::from_slice::<Gone>(&body);
+                Err(gone.map_or_else(
+                    |e| ReadError::Unavailable(e.to_string()),
+                    |g| ReadError::Expired(g.oldest),
+                ))
+            }
             other => Err(ReadError::Unavailable(format!("status {other}"))),
         }
     }
--- a/src/membership/election.rs
+++ b/src/membership/election.rs
@@ -19,6 +19,10 @@
 /// membership changes each.
 const EVICT_AFTER: Duration = Duration::from_secs(3);
 
+/// Longest time that a membership change waits for the copy of a register, so that a member that
+/// is lost in between can be evicted.
+const COPY_LIMIT: Duration = Duration::from_secs(5);
+
 /// A leader whose reads of the log fail for longer gives way to a host that still reaches it.
 const LOG_SILENCE: Duration = Duration::from_secs(2);
 
@@ -204,7 +208,10 @@
         let folded = liveness.folded_members(state, change).count();
         let all = self.change.is_join && folded == state.membership.members.len();
         let lapsed = self.change.majority.is_some_and(|at| now >= at + outlast(self.lease));
-        (all || lapsed).then_some(Record::Settle { term, change })
+        // A member whose register doesn't vote yet copies from those that do. Two of them at once
+        // would each wait for the other.
+        let copied = liveness.all_vote() || self.change.majority.is_some_and(|at| now >= at + COPY_LIMIT);
+        (copied && (all || lapsed)).then_some(Record::Settle { term, change })
     }
 
     /// Passes a wanted record on once per [`APPEND_RETRY`].
--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -24,6 +24,7 @@
     newest: Incarnation,
     folded: Offset,
     has_lease: bool,
+    register_votes: bool,
     /// When the row was made; silence counts from here until a report arrives.
     since: Instant,
     heard: Option<Instant>,
@@ -64,9 +65,15 @@
             peer.heard = Some(now);
             peer.folded = peer.folded.max(report.folded);
             peer.has_lease = report.has_lease;
+            peer.register_votes = report.register_votes;
         }
     }
 
+    /// Tells whether the registers of all other members vote.
+    pub(crate) fn all_vote(&self) -> bool {
+        self.peers.values().all(|peer| peer.register_votes)
+    }
+
     /// How long a member was silent while this process was running.
     pub(crate) fn silence(&self, now: Instant, host: &HostName) -> Duration {
         let Some(peer) = self.peers.get(host) else {
@@ -119,6 +126,7 @@
             newest: incarnation,
             folded: Offset(0),
             has_lease: false,
+            register_votes: false,
             since: now,
             heard: None,
         }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -40,6 +40,8 @@
         /// Term that the sender leads and is able to act for; see [`Election::acting_term`].
         pub(crate) leads: Option<Offset>,
         pub(crate) has_lease: bool,
+        /// The sender's register of idempotency keys votes.
+        pub(crate) register_votes: bool,
     }
 }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -31,6 +31,7 @@
         folded,
         leads: None,
         has_lease: true,
+        register_votes: true,
     }
 }
 
@@ -206,3 +207,27 @@
     });
     assert_eq!(appends.count(), 2);
 }
+
+/// Guards against two joining members whose registers each wait for the other's copy.
+#[test]
+fn join_settles_after_the_copy_of_the_register() {
+    let start = Instant::now();
+    let mut leader = Leader::new(2, start);
+    let join = leader.join(run(2, 1));
+    leader.fold(join);
+    let now = start + ms(600);
+    let joined = Report {
+        register_votes: false,
+        ..report(run(2, 1), leader.state.folded)
+    };
+    leader.tick(now);
+    leader.hear(now, [1]);
+    leader.liveness.note_report(now, &joined);
+    assert_eq!(leader.tick(now + ms(20)), None);
+    let copied = Report {
+        register_votes: true,
+        ..joined
+    };
+    leader.liveness.note_report(now + ms(40), &copied);
+    assert!(matches!(leader.tick(now + ms(60)), Some(Record::Settle { .. })));
+}
--- a/src/once/tests.rs
+++ b/src/once/tests.rs
@@ -177,6 +177,7 @@
                 version,
                 members,
                 settled: true,
+                founder: None,
             }],
             hosts: (0..size).map(|_| None).collect(),
             cut: BTreeSet::new(),
--- a/src/ownership/mover.rs
+++ b/src/ownership/mover.rs
@@ -540,6 +540,7 @@
         Record::Publish { .. }
         | Record::SetService { .. }
         | Record::Join { .. }
+        | Record::Reform { .. }
         | Record::Evict { .. }
         | Record::Settle { .. }
         | Record::Claim { .. }
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -167,6 +167,7 @@
             folded: self.state.folded,
             leads: self.election.acting_term(now, &self.state, &self.liveness),
             has_lease: self.lease.holds(now, &self.state),
+            register_votes: true,
         };
         let acks = self.gate.acks(now, &self.state, &self.granter);
         (report, acks, self.health.unreachable(now, &self.state))
--- a/src/records/mod.rs
+++ b/src/records/mod.rs
@@ -36,6 +36,8 @@
         SetService { base: Offset, target: ServiceTarget, in_service: bool },
         /// Adds an entry host to the membership.
         Join { base: Offset, host: HostName, incarnation: Incarnation, zone: Zone, address: SocketAddr },
+        /// Replaces all members by one host, after operators made sure that the others are gone.
+        Reform { base: Offset, host: HostName, incarnation: Incarnation, zone: Zone, address: SocketAddr },
         /// Removes an entry host from the membership.
         Evict { base: Offset, term: Offset, host: HostName, incarnation: Incarnation },
         /// States that a membership change can no longer be missed by a majority.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -128,6 +128,11 @@
         offset
     }
 
+    /// Oldest offset that a stream keeps.
+    fn oldest(&self, name: &str) -> u64 {
+        lock(&self.streams).get(name).map_or(1, |stream| stream.dropped + 1)
+    }
+
     /// Reads at most `max` records; `None` if the offset is no longer kept.
     fn read(&self, name: &str, from: u64, max: usize) -> Option<BatchView> {
         let mut streams = lock(&self.streams);
@@ -215,7 +220,10 @@
             200,
             serde_json::to_string(&batch).map_err(|e| HttpError::for_internal_error(e.to_string()))?,
         ),
-        None => (410, "{}".to_owned()),
+        None => (
+            410,
+            serde_json::json!({ "oldest": platform.oldest(&stream) }).to_string(),
+        ),
     };
     let answer = Response::builder()
         .status(status)
