Test choice; repeat news of suspects

Cause: one lost message left a host without proof of a crash, so that it kept innocents waiting for 5 s and then let the suspect through.

Ruled out: acknowledgements from every host to the one that saw the crash; it may itself be lost before they arrive.

Change: hosts repeat what they have learned about a suspect for 500 ms.

--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -266,7 +266,11 @@
         let usable: u32 = self.hosts.iter().map(|h| h.purse.usable(now)).sum();
         assert!(usable <= SLOTS, "{usable} slots usable at {} ms", self.at);
         let connections: u32 = self.hosts.iter().map(|h| h.purse.connection_limit(now)).sum();
-        assert!(connections <= CONNECTIONS, "{connections} connections at {} ms", self.at);
+        assert!(
+            connections <= CONNECTIONS,
+            "{connections} connections at {} ms",
+            self.at
+        );
     }
 
     fn apply(&mut self, action: &Action) {
@@ -420,6 +424,67 @@
     }
 }
 
+fn report_of(steps: Vec<Step>) -> Report {
+    let reports = steps.into_iter().filter_map(|step| match step {
+        Step::Send(report) => Some(report),
+        Step::Start(..) | Step::Refuse(..) => None,
+    });
+    reports.last().unwrap()
+}
+
+/// Guards against a late allowance that gives back credits which have gone back or expired.
+#[test]
+fn a_late_allowance_adds_only_what_it_adds() {
+    let mut world = World::new(0, 7);
+    (0..10).for_each(|_| world.step());
+    let (mut broker, _) = world.brokers.pop().unwrap();
+    let demand = |now: Instant| Demand {
+        priority: Priority::Normal,
+        caller: name("caller", 0),
+        deadline: now + ms(400),
+    };
+    let start = world.now();
+    let purse = &mut world.hosts[0].purse;
+    let (_, steps) = purse.admit(&demand(start), start);
+    let first = broker.hear(&report_of(steps), start);
+    let started = purse.hear(&first[0], start);
+    let Step::Start(_, permit) = started.into_iter().next().unwrap() else {
+        panic!("no credit came");
+    };
+    let (_, steps) = purse.admit(&demand(start), start + ms(1));
+    let late = broker.hear(&report_of(steps), start + ms(1));
+    assert_eq!(late[0].slots.count, 2);
+    let permit_end = sample(Outcome::Cancelled, ms(1));
+    purse.cancel(Ticket(2), start + ms(2));
+    purse.release(permit, permit_end, start + ms(2));
+    purse.tick(start + ms(3));
+    purse.tick(start + ms(10));
+    assert_eq!(purse.usable(start + ms(10)), 0, "the idle credit went back");
+    purse.hear(&late[0], start + ms(11));
+    assert_eq!(purse.usable(start + ms(11)), 1);
+}
+
+/// Guards against a new home host that renews credits which the earlier one still manages.
+#[test]
+fn a_new_home_waits_for_the_end_of_the_earlier() {
+    let mut world = World::new(0, 7);
+    (0..10).for_each(|_| world.step());
+    (0..4).for_each(|_| world.admit(0, Priority::Normal, 0, 300));
+    (0..5).for_each(|_| world.step());
+    assert_eq!(world.hosts[0].served, 4);
+    world.change_home(700, 0);
+    // Host 0 knows the new home at once, host 1 only later.
+    world.news.retain(|(_, host, _)| *host == 0);
+    for _ in 0..690 {
+        if world.hosts[1].purse.waiting() == 0 {
+            world.admit(1, Priority::Normal, 1, 2000);
+        }
+        world.step();
+    }
+    assert!(world.hosts[1].served > 0, "the earlier home lends expired credits");
+    assert!(world.brokers.last().unwrap().0.is_rebuilding());
+}
+
 /// Guards against strict priorities that let downloads wait for ever.
 #[test]
 fn lower_priorities_get_turns() {
--- a/src/choice/suspects.rs
+++ b/src/choice/suspects.rs
@@ -27,6 +27,11 @@
 const RUN_MAX: Duration = Duration::from_secs(30);
 /// Time from asking for a run to its start; with the attempt it stays below [`RUN_MAX`].
 const START_MAX: Duration = Duration::from_secs(10);
+/// Time for which a host repeats what it has learned about a suspect.
+///
+/// Crashes are rare and a lost message would let the request through, so each host passes on news
+/// about ten times.
+const REPEAT: Duration = Duration::from_millis(500);
 /// Time between repetitions of a message without an answer.
 const RESEND: Duration = Duration::from_millis(50);
 
@@ -153,6 +158,8 @@
     ended: BTreeMap<HostName, u64>,
     /// Run that this host asks for.
     asked: Option<Asked>,
+    /// When this host last learned something about the suspect.
+    learned: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -186,16 +193,23 @@
     fn merge(&mut self, suspect: &Suspect, now: Instant) {
         for (crash, info) in &suspect.crashes {
             let at = now.checked_sub(info.age).unwrap_or(now);
+            let known = self.crashes.contains_key(crash);
             let held = self.crashes.entry(crash.clone()).or_insert(Held {
                 at,
                 alone: false,
                 confirmed: false,
                 cleared: false,
             });
+            let before = *held;
             held.at = held.at.min(at);
             held.alone |= info.alone;
             held.confirmed |= info.confirmed;
             held.cleared |= info.cleared;
+            let flags = |h: &Held| (h.alone, h.confirmed, h.cleared);
+            // A copy that came faster only moves the time, which is no news.
+            if !known || flags(held) != flags(&before) {
+                self.learned = Some(now);
+            }
         }
     }
 
@@ -213,7 +227,8 @@
         Suspect { fingerprint, crashes }
     }
 
-    fn clear_all(&mut self) {
+    fn clear_all(&mut self, now: Instant) {
+        self.learned = Some(now);
         for held in self.crashes.values_mut() {
             held.cleared = true;
         }
@@ -320,11 +335,11 @@
             }
         }
         match end {
-            RunEnd::Completed => self
-                .records
-                .get_mut(&fingerprint)
-                .into_iter()
-                .for_each(Record::clear_all),
+            RunEnd::Completed => {
+                if let Some(record) = self.records.get_mut(&fingerprint) {
+                    record.clear_all(now);
+                }
+            }
             RunEnd::Broken => self.suspect(fingerprint, on, alone, now),
             RunEnd::Other => {}
         }
@@ -351,6 +366,7 @@
             cleared: false,
         });
         held.alone |= alone;
+        record.learned = Some(now);
     }
 
     /// Takes proof of a crash: connections refused, or another incarnation.
@@ -368,6 +384,7 @@
         for (fingerprint, record) in &mut self.records {
             if let Some(held) = record.crashes.get_mut(crash) {
                 change(held);
+                record.learned = Some(now);
                 let share = SuspectMessage::Share(record.write(*fingerprint, now));
                 messages.push((Target::All, share));
             }
@@ -545,6 +562,7 @@
             held.any(|h| now.duration_since(h.at) < MEMORY)
         });
         let mut messages = self.send_ends(now);
+        messages.extend(self.repeat_news(now));
         let asked = self
             .records
             .iter()
@@ -556,6 +574,13 @@
         messages
     }
 
+    fn repeat_news(&self, now: Instant) -> Messages {
+        let is_news = |r: &Record| r.learned.is_some_and(|at| now.duration_since(at) < REPEAT);
+        let news = self.records.iter().filter(|(_, r)| is_news(r));
+        news.map(|(f, r)| (Target::All, SuspectMessage::Share(r.write(*f, now))))
+            .collect()
+    }
+
     /// Gives up the run that waiting requests of a fingerprint have asked for.
     pub(crate) fn give_up(&mut self, fingerprint: Fingerprint, now: Instant) -> Messages {
         if let Some(record) = self.records.get_mut(&fingerprint)
