Add the policy measures; shorten idle credits; share ejections

Each host ejected a slow upstream for itself, and each return cost ten slow answers per host. Attempts started just before their deadline used slots for nothing.

Ruled out: lending above the limit to hide the way of a credit (cold upstreams would be overrun).

The broker tells holders that others wait, and they give unused credits back at once; it passes on ejections. An upstream ejected lately is judged after 3 answers. A purse gives unused credits back after a reset, and starts nothing with less than 3 average service times left. Late answers of an earlier incarnation don't warm up its successor.

--- a/src/admission/broker.rs
+++ b/src/admission/broker.rs
@@ -63,6 +63,9 @@
     /// Average time that an attempt takes, in seconds.
     service: Option<f64>,
     changed: BTreeSet<Instance>,
+    ejected_until: Option<Instant>,
+    /// Requests waited at the last change, and the holders know it.
+    contended: bool,
 }
 
 impl Broker {
@@ -99,6 +102,8 @@
             version: 0,
             service: None,
             changed: BTreeSet::new(),
+            ejected_until: None,
+            contended: false,
         }
     }
 
@@ -183,18 +188,19 @@
             account.slots.allow(self.version, 0);
             account.connections.allow(self.version, 0);
         }
+        self.take_ejection(report.ejected, now);
         self.take_samples(report, now);
         self.take_wants(report, now);
         self.changed.insert(report.from.clone());
         self.serve(now);
-        self.collect()
+        self.collect(now)
     }
 
     /// Drops what has expired, lends what is free and recalls what is needed elsewhere.
     pub(crate) fn tick(&mut self, now: Instant) -> Vec<Lend> {
         self.expire(now);
         self.serve(now);
-        self.collect()
+        self.collect(now)
     }
 
     fn expire(&mut self, now: Instant) {
@@ -210,6 +216,19 @@
         }
     }
 
+    /// Passes on the longest ejection by any host.
+    fn take_ejection(&mut self, ejected: Duration, now: Instant) {
+        let until = now + ejected;
+        // Two reports of one ejection differ by their way here.
+        let longer = self
+            .ejected_until
+            .is_none_or(|known| until > known + Duration::from_millis(100));
+        if !ejected.is_zero() && longer {
+            self.ejected_until = Some(until);
+            self.changed.extend(self.accounts.keys().cloned());
+        }
+    }
+
     fn take_samples(&mut self, report: &Report, now: Instant) {
         let Some(account) = self.accounts.get_mut(&report.from) else {
             return;
@@ -269,6 +288,17 @@
         }
         self.recall(now);
         self.serve_connections();
+        self.announce_contention();
+    }
+
+    /// Tells the holders when requests begin to wait; the end goes with the next lend.
+    fn announce_contention(&mut self) {
+        let contended = !self.wants.is_empty();
+        if contended && !self.contended {
+            let holders = self.accounts.iter().filter(|(_, a)| a.slots.count() > 0);
+            self.changed.extend(holders.map(|(i, _)| i.clone()));
+        }
+        self.contended = contended;
     }
 
     /// Limit for an instance, which isolation takes to 0 or 1.
@@ -457,13 +487,13 @@
         Duration::from_secs_f64(service * f64::from(waiting) / f64::from(self.ramp.limit()))
     }
 
-    fn collect(&mut self) -> Vec<Lend> {
+    fn collect(&mut self, now: Instant) -> Vec<Lend> {
         let changed = std::mem::take(&mut self.changed);
-        let lends = changed.iter().filter_map(|i| self.write_lend(i));
+        let lends = changed.iter().filter_map(|i| self.write_lend(i, now));
         lends.collect()
     }
 
-    fn write_lend(&self, to: &Instance) -> Option<Lend> {
+    fn write_lend(&self, to: &Instance, now: Instant) -> Option<Lend> {
         let account = self.accounts.get(to)?;
         let alone = || {
             let others = self.accounts.iter().filter(|(i, _)| *i != to);
@@ -480,6 +510,8 @@
             wait: self.expect_wait(),
             limit: self.ramp.limit(),
             cold: self.ramp.is_cold(),
+            contended: self.wants.keys().any(|(_, i)| i != to),
+            ejected: self.ejected_until.map_or(Duration::ZERO, |at| at.duration_since(now)),
             isolated: self.rebuild.is_none() && self.find_isolated() == Some(to) && alone(),
         })
     }
@@ -489,7 +521,7 @@
     /// Tells whether the attempt counts against the upstream.
     pub(crate) fn is_failure(&self) -> bool {
         match self.outcome {
-            Outcome::Failed | Outcome::Shed => true,
+            Outcome::Failed | Outcome::Shed | Outcome::Reset => true,
             Outcome::Answered | Outcome::Cancelled => false,
         }
     }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -85,8 +85,10 @@
         Answered,
         /// The upstream refused because it is overloaded.
         Shed,
-        /// The attempt broke or timed out.
+        /// The attempt failed or timed out.
         Failed,
+        /// The upstream closed or reset the connection before the answer.
+        Reset,
         /// The host ended the attempt, which says nothing about the upstream.
         Cancelled,
     }
@@ -116,6 +118,8 @@
         pub(crate) wants: Vec<Want>,
         /// The host wants to be the only user of the upstream.
         pub(crate) isolate: bool,
+        /// Time for which the host has ejected the upstream; zero if it hasn't.
+        pub(crate) ejected: Duration,
         /// Number of the first sample, counted from the start of the instance.
         pub(crate) first_sample: u64,
         pub(crate) samples: Vec<Sample>,
@@ -138,6 +142,10 @@
         pub(crate) limit: u32,
         /// The upstream is in slow start.
         pub(crate) cold: bool,
+        /// Other hosts wait, so credits without use go back at once.
+        pub(crate) contended: bool,
+        /// Time for which the upstream is ejected, for `Ejector::follow`; zero if it isn't.
+        pub(crate) ejected: Duration,
         /// The host is the only user of the upstream.
         pub(crate) isolated: bool,
     }
--- a/src/admission/purse.rs
+++ b/src/admission/purse.rs
@@ -18,6 +18,10 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(100);
 /// Samples kept for a home host that doesn't answer.
 const SAMPLES_MAX: usize = 1024;
+/// Multiple of the average service time that has to be left when an attempt starts.
+///
+/// An attempt that its deadline cuts off has used its slot for nothing.
+const SERVICE_LEFT: f64 = 3.0;
 /// Weight of a new latency in the average service time.
 const SERVICE_GAIN: f64 = 0.1;
 
@@ -38,7 +42,7 @@
 pub(crate) struct Demand {
     pub(crate) priority: Priority,
     pub(crate) caller: Caller,
-    /// Time by which the attempt has to start.
+    /// Time by which the answer has to be there.
     pub(crate) deadline: Instant,
 }
 
@@ -111,6 +115,7 @@
     service: Option<f64>,
     last_lend: Option<Lend>,
     isolate: bool,
+    ejected_until: Option<Instant>,
 }
 
 impl Purse {
@@ -144,6 +149,7 @@
             service: None,
             last_lend: None,
             isolate: false,
+            ejected_until: None,
         }
     }
 
@@ -215,6 +221,13 @@
         self.act(now)
     }
 
+    /// Tells the broker, and through it the other hosts, that this host has ejected the upstream.
+    pub(crate) fn set_ejected(&mut self, until: Instant, now: Instant) -> Vec<Step> {
+        self.ejected_until = Some(until);
+        self.stale = true;
+        self.act(now)
+    }
+
     /// Asks for a slot. Sends are among the steps.
     pub(crate) fn admit(&mut self, demand: &Demand, now: Instant) -> (Admission, Vec<Step>) {
         let mut steps = self.act(now);
@@ -224,7 +237,8 @@
     }
 
     fn decide(&mut self, demand: &Demand, now: Instant) -> Admission {
-        if demand.deadline <= now {
+        let latest = self.find_latest_start(demand.deadline);
+        if latest <= now {
             return Admission::Refuse(Reason::QueueTimeout);
         }
         if self.waiting() == 0 && self.has_free(now) {
@@ -233,7 +247,7 @@
         if self.waiting() >= self.queue_max {
             return Admission::Refuse(Reason::QueueFull);
         }
-        if now + self.expect_wait(demand.priority, now) > demand.deadline {
+        if now + self.expect_wait(demand.priority, now) > latest {
             return Admission::Refuse(Reason::QueueTimeout);
         }
         self.next_ticket += 1;
@@ -275,6 +289,10 @@
             self.slots.overdue -= 1;
             self.stale = true;
         }
+        if sample.outcome == Outcome::Reset {
+            // The upstream may be cold, and the broker has yet to lower its limit.
+            self.return_free();
+        }
         if sample.outcome == Outcome::Answered {
             let latency = sample.latency.as_secs_f64();
             let service = self.service.get_or_insert(latency);
@@ -390,16 +408,26 @@
 
     fn refuse_late(&mut self, now: Instant) -> Vec<Step> {
         let mut steps = Vec::new();
+        let left = self.service_left();
         for waiting in self.queue.values_mut() {
-            let late = waiting.iter().filter(|w| w.deadline <= now);
+            let late = waiting.iter().filter(|w| w.deadline <= now + left);
             steps.extend(late.map(|w| Step::Refuse(w.ticket, Reason::QueueTimeout)));
-            waiting.retain(|w| w.deadline > now);
+            waiting.retain(|w| w.deadline > now + left);
         }
         self.queue.retain(|_, waiting| !waiting.is_empty());
         self.stale |= !steps.is_empty();
         steps
     }
 
+    /// Time that an attempt is likely to take at most.
+    fn service_left(&self) -> Duration {
+        Duration::from_secs_f64(SERVICE_LEFT * self.service.unwrap_or_default())
+    }
+
+    fn find_latest_start(&self, deadline: Instant) -> Instant {
+        deadline.checked_sub(self.service_left()).unwrap_or(deadline)
+    }
+
     fn pop_next(&mut self) -> Option<Ticket> {
         let lane = self.order.choose(self.queue.keys())?;
         let waiting = self.queue.get_mut(&lane)?;
@@ -416,6 +444,9 @@
             self.idle_since = None;
             return;
         }
+        if self.last_lend.as_ref().is_some_and(|l| l.contended) {
+            return self.return_free();
+        }
         let Some(since) = self.idle_since else {
             self.idle_since = Some(now);
             self.peak = self.running;
@@ -429,6 +460,14 @@
         }
     }
 
+    /// Gives back the credits that no attempt uses at the moment.
+    fn return_free(&mut self) {
+        self.idle_since = None;
+        self.stale |= self.running < self.slots.held;
+        self.slots.held = self.running;
+        self.allowed = self.allowed.min(self.running);
+    }
+
     /// Expected wait of a new request of a priority, from those ahead of it and the service time.
     fn expect_wait(&self, priority: Priority, now: Instant) -> Duration {
         let service = self.service.unwrap_or_default();
@@ -477,6 +516,7 @@
             connections_wanted: self.connections_wanted,
             wants: self.list_wants(now),
             isolate: self.isolate,
+            ejected: self.ejected_until.map_or(Duration::ZERO, |at| at.duration_since(now)),
             first_sample: self.first_sample,
             samples: self.samples.iter().copied().collect(),
         })
--- a/src/admission/ramp.rs
+++ b/src/admission/ramp.rs
@@ -34,7 +34,10 @@
 pub(crate) enum Sign {
     /// The upstream answers with another incarnation.
     NewIncarnation,
-    /// A connection was reset and a new one opened.
+    /// A connection was reset.
+    ///
+    /// The limit drops before a new connection is open, because that connection may already
+    /// reach a cold upstream. An answer on an older connection takes the sign back.
     Reset,
     /// The upstream sheds load.
     Shed,
@@ -180,6 +183,9 @@
             Outcome::Cancelled => {}
             Outcome::Shed => self.note(Sign::Shed, pool, now),
             Outcome::Failed => self.fail(),
+            Outcome::Reset => self.note(Sign::Reset, pool, now),
+            // An answer of an earlier incarnation, reported late, shows nothing about this one.
+            Outcome::Answered if sample.incarnation.is_some_and(|i| self.past.contains(&i)) => {}
             Outcome::Answered => {
                 self.check_survival(sample, now);
                 self.answer(sample.latency.as_secs_f64(), pool, now);
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -619,6 +619,25 @@
     assert_eq!(ramp.limit(), 4);
 }
 
+/// Guards against late answers of the incarnation before that warm up its successor.
+#[test]
+fn answers_of_an_earlier_incarnation_do_not_count() {
+    let now = Instant::now();
+    let mut ramp = Ramp::new(4);
+    let mut answer = |incarnation, count| {
+        let done = Sample {
+            incarnation: Some(Incarnation(incarnation)),
+            ..sample(Outcome::Answered, ms(10))
+        };
+        (0..count).for_each(|_| ramp.complete(&done, PoolWarmth::default(), now));
+        ramp.limit()
+    };
+    assert_eq!(answer(1, 30), 4);
+    assert_eq!(answer(2, 1), 1);
+    assert_eq!(answer(1, 30), 1);
+    assert_eq!(answer(2, 7), 2);
+}
+
 /// Guards against overload that takes every upstream of a pool to one request at once.
 #[test]
 fn weak_signs_only_halve_the_limit_of_a_cold_pool() {
--- a/src/choice/eject.rs
+++ b/src/choice/eject.rs
@@ -14,6 +14,8 @@
 const SLOW_FACTOR: f64 = 5.0;
 /// Answers before the latency of an upstream is judged.
 const ANSWERS_MIN: u32 = 10;
+/// Answers before an upstream that was ejected lately is judged; it is probably still slow.
+const ANSWERS_AGAIN: u32 = 3;
 /// Weight of a new latency in the average.
 const LATENCY_GAIN: f64 = 0.2;
 /// Time of the first ejection; each further one in a row takes as much longer.
@@ -73,12 +75,28 @@
         match outcome {
             Outcome::Cancelled => {}
             Outcome::Answered => health.answer(latency.as_secs_f64()),
-            Outcome::Failed | Outcome::Shed => health.failures += 1,
+            Outcome::Failed | Outcome::Shed | Outcome::Reset => health.failures += 1,
         }
         let failing = health.failures >= FAILURES_MAX;
         if failing { self.eject(name, now) } else { None }
     }
 
+    /// Follows an ejection by another host, told by the upstream's broker.
+    pub(crate) fn follow(&mut self, name: &UpstreamName, left: Duration, now: Instant) -> Option<Ejection> {
+        let ejection = if left.is_zero() { None } else { self.eject(name, now) };
+        if ejection.is_some()
+            && let Some(health) = self.upstreams.get_mut(name)
+        {
+            health.ejected_until = Some(now + left);
+        }
+        ejection
+    }
+
+    /// End of an ejection, to be told to the upstream's broker.
+    pub(crate) fn ejected_until(&self, name: &UpstreamName) -> Option<Instant> {
+        self.upstreams.get(name).and_then(|h| h.ejected_until)
+    }
+
     /// Ejects the slowest upstreams and returns those whose time is over.
     pub(crate) fn tick(&mut self, now: Instant) -> Vec<Ejection> {
         let mut changes = Vec::new();
@@ -96,7 +114,7 @@
 
     /// Lists upstreams that are far slower than the median, slowest first.
     fn list_slow(&self) -> Vec<UpstreamName> {
-        let judged = |h: &&Health| h.answers >= ANSWERS_MIN && h.ejected_until.is_none();
+        let judged = |h: &&Health| h.is_judged() && h.ejected_until.is_none();
         let mut latencies: Vec<f64> = self.upstreams.values().filter(judged).map(|h| h.latency).collect();
         latencies.sort_unstable_by(f64::total_cmp);
         let Some(&median) = latencies.get(latencies.len() / 2) else {
@@ -123,6 +141,11 @@
 }
 
 impl Health {
+    fn is_judged(&self) -> bool {
+        let enough = if self.ejections > 0 { ANSWERS_AGAIN } else { ANSWERS_MIN };
+        self.answers >= enough
+    }
+
     fn answer(&mut self, latency: f64) {
         self.failures = 0;
         self.answers = self.answers.saturating_add(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,3 +40,5 @@
 mod host;
 mod peer;
 mod telemetry;
+
+pub mod measure;
