Choose another upstream for retries; mend the policy model

Cause: in the model a host started its next attempt before it cancelled the last, and an answer carried the incarnation of its arrival; both showed requests above the limit that the decision code had not admitted.

Ruled out: counting such requests as transit; they are at most the hosts' order of sending.

Change: pick_again for retries; the model sends a cancellation first and answers carry the incarnation that wrote them.

--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use eject::{Ejection, Ejector};
 pub(crate) use hedge::{HedgeBudget, HedgeQuestion};
-pub(crate) use pick::{LatencyAverage, Load, pick_upstream};
+pub(crate) use pick::{LatencyAverage, Load, pick_again, pick_upstream};
 pub(crate) use retry::{Denial, Failure, RetryBudget};
 pub(crate) use silence::{ConnectionId, Silence, SilenceStep};
 pub(crate) use suspects::{
--- a/src/choice/pick.rs
+++ b/src/choice/pick.rs
@@ -65,6 +65,18 @@
     Some(if loads[b].cost(now) < loads[a].cost(now) { b } else { a })
 }
 
+/// Chooses an upstream for another attempt; one that has failed serves only if no other may.
+pub(crate) fn pick_again(
+    loads: &[Load],
+    usable: impl Fn(usize) -> bool,
+    failed: &[usize],
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let other = pick_upstream(loads, |i| usable(i) && !failed.contains(&i), now, rng);
+    other.or_else(|| pick_upstream(loads, usable, now, rng))
+}
+
 fn draw_pair(len: usize, usable: &impl Fn(usize) -> bool, rng: &mut impl Rng) -> Option<(usize, usize)> {
     if len == 0 {
         return None;
--- a/src/choice/retry.rs
+++ b/src/choice/retry.rs
@@ -64,8 +64,7 @@
 
     /// Spends a retry on a failed request.
     ///
-    /// The next attempt must go to another upstream where one may serve the request: the caller
-    /// excludes the failed one from `pick_upstream` and admits it only if there is no other.
+    /// `pick_again` gives the upstream of the next attempt.
     ///
     /// # Errors
     ///
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -40,6 +40,11 @@
     }
     assert_eq!(pick_upstream(&loads, |_| false, now, &mut rng), None);
     assert_eq!(pick_upstream(&[], |_| true, now, &mut rng), None);
+    for _ in 0..50 {
+        let other = pick_again(&loads[..3], |_| true, &[0, 2], now, &mut rng);
+        assert_eq!(other, Some(1), "a failed upstream is tried again");
+    }
+    assert_eq!(pick_again(&loads[..1], |_| true, &[0], now, &mut rng), Some(0));
 }
 
 /// Guards against a slow or busy upstream that gets as much work as others.
--- a/src/measure/policy.rs
+++ b/src/measure/policy.rs
@@ -141,6 +141,8 @@
     host: usize,
     upstream: usize,
     sent: Instant,
+    /// Incarnation of the upstream that finished it.
+    incarnation: Option<Incarnation>,
     phase: Phase,
 }
 
@@ -422,6 +424,7 @@
             host,
             upstream,
             sent: self.now,
+            incarnation: None,
             phase: Phase::Over,
         });
         match self.setup.limit {
@@ -587,6 +590,7 @@
         if server.incarnation != incarnation || !server.running.remove(&attempt) {
             return;
         }
+        self.attempts[attempt].incarnation = Some(Incarnation(incarnation));
         server.completed += 1;
         if server.cold && server.completed >= 8 * server.bound {
             server.completed = 0;
@@ -744,8 +748,9 @@
                     let latency = self.now.duration_since(sent);
                     // What is lost by waiting for the slower upstream counts as its latency.
                     self.nodes[host].loads[upstream].latency.record(latency, self.now);
-                    self.release(attempt, Outcome::Cancelled, latency);
+                    // The host cancels before it starts another attempt with the same credit.
                     self.push(HOP, Event::Cancel(attempt));
+                    self.release(attempt, Outcome::Cancelled, latency);
                 }
             }
         }
@@ -768,12 +773,11 @@
         }
         if let Phase::Sent(Some(permit)) = phase {
             let ramped = self.setup.ramp;
-            let answered = ramped && outcome == Outcome::Answered;
             let sample = Sample {
                 outcome: if ramped { outcome } else { Outcome::Cancelled },
                 latency,
                 connection_age: Duration::ZERO,
-                incarnation: answered.then_some(Incarnation(self.servers[upstream].incarnation)),
+                incarnation: self.attempts[attempt].incarnation.filter(|_| ramped),
             };
             let steps = self.nodes[host].purses[upstream].release(permit, sample, self.now);
             self.run_steps(host, upstream, steps);
