--- a/src/bin/measures.rs
+++ b/src/bin/measures.rs
@@ -1,28 +1,38 @@
-//! Prints the measures of the decision modules.
+//! Runs the measures of the decision modules.
 
 use std::io;
 
 use clap::{Parser, Subcommand};
+use ragworthub::measure::{run_placement_measures, run_policy_measures, run_slope_measures};
 
-/// Measures ragworthub's decision modules.
+/// Measures ragworthub's decision modules and prints tables and JSON lines.
 #[derive(Parser)]
-struct Args {
+struct Arguments {
     #[command(subcommand)]
-    command: Command,
+    measure: Measure,
 }
 
 #[derive(Subcommand)]
-enum Command {
-    /// Imbalance and churn of placement, beside three baselines.
+enum Measure {
+    /// Placement and policy, beside their baselines
+    All,
+    /// Imbalance and churn of placement
     Placement,
-    /// Cost per unit as one size at a time varies.
+    /// Tail latency, overload, cold starts and shared limits
+    Policy,
+    /// Cost per unit as one size at a time varies
     Slopes,
 }
 
 fn main() -> io::Result<()> {
-    let mut out = io::stdout().lock();
-    match Args::parse().command {
-        Command::Placement => ragworthub::measure::run_placement_measures(&mut out),
-        Command::Slopes => ragworthub::measure::run_slope_measures(&mut out),
+    let out = &mut io::stdout().lock();
+    match Arguments::parse().measure {
+        Measure::All => {
+            run_placement_measures(out)?;
+            run_policy_measures(out)
+        }
+        Measure::Placement => run_placement_measures(out),
+        Measure::Policy => run_policy_measures(out),
+        Measure::Slopes => run_slope_measures(out),
     }
 }
--- a/src/choice/suspects.rs
+++ b/src/choice/suspects.rs
@@ -336,8 +336,7 @@
         }
         match end {
             RunEnd::Completed => {
-                let record = self.records.get_mut(&fingerprint);
-                if let Some(record) = record {
+                if let Some(record) = self.records.get_mut(&fingerprint) {
                     record.clear_all(now);
                 }
             }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -40,6 +40,11 @@
     }
     assert_eq!(pick_upstream(&loads, |_| false, now, &mut rng), None);
     assert_eq!(pick_upstream(&[], |_| true, now, &mut rng), None);
+    for _ in 0..50 {
+        let other = pick_again(&loads[..3], |_| true, &[0, 2], now, &mut rng);
+        assert_eq!(other, Some(1), "a failed upstream is tried again");
+    }
+    assert_eq!(pick_again(&loads[..1], |_| true, &[0], now, &mut rng), Some(0));
 }
 
 /// Guards against a slow or busy upstream that gets as much work as others.
@@ -414,6 +419,8 @@
     assert_eq!(world.call(2, Fingerprint(0)), Standing::Wait);
     world.pass(60);
     assert_eq!(world.call(2, Fingerprint(0)), Standing::Alone);
+    assert_eq!(world.call(3, Fingerprint(0)), Standing::Wait);
+    world.pass(200);
     assert_eq!(world.call(3, Fingerprint(0)), Standing::Wait, "one run at a time");
     world.end_runs(&poison, &[]);
     world.pass(5);
@@ -422,6 +429,19 @@
     assert_eq!(world.call(0, Fingerprint(0)), Standing::Clear);
 }
 
+/// Guards against a third run after two upstreams were lost before the first crash was known.
+#[test]
+fn two_crashes_block_without_a_run_alone() {
+    let mut world = World::new(0, 1);
+    let poison = BTreeSet::from([Fingerprint(0)]);
+    world.call(0, Fingerprint(0));
+    world.call(1, Fingerprint(0));
+    world.end_runs(&poison, &[]);
+    assert_eq!(world.lost[&Fingerprint(0)], 2);
+    world.pass(5);
+    assert!((0..4).all(|i| world.call(i, Fingerprint(0)) == Standing::Blocked));
+}
+
 /// Guards against a lost connection that is taken for a crash.
 #[test]
 fn a_survivor_ends_the_suspicion() {
--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -14,7 +14,7 @@
 use crate::admission::{Outcome, Sample};
 use crate::choice::RunEnd;
 use crate::exchange::{AnswerGuard, Ended};
-use crate::host::{InFlight, Shared, Slot, WatchedRun};
+use crate::host::{InFlight, Shared, Slot, WatchedRun, eject_upstream};
 use crate::ownership::Pass;
 use crate::types::{Incarnation, PoolName, RouteName, UpstreamName, Verdict};
 
@@ -73,27 +73,31 @@
     }
 
     /// Notes the head of an answer.
-    pub(super) fn note_head(&mut self, outcome: Outcome, incarnation: Option<Incarnation>) {
-        self.note_outcome(outcome, incarnation);
+    pub(super) fn note_head(&mut self, outcome: Outcome, incarnation: Option<Incarnation>, age: Duration) {
+        self.note_outcome(outcome, incarnation, age);
         if let Some(held) = &mut self.held {
             held.run.set_end(RunEnd::Completed);
         }
     }
 
     /// Notes that the attempt ended without an answer.
-    pub(super) fn note_failure(&mut self, outcome: Outcome, end: RunEnd) {
-        self.note_outcome(outcome, None);
+    pub(super) fn note_failure(&mut self, outcome: Outcome, end: RunEnd, age: Duration) {
+        self.note_outcome(outcome, None, age);
         if let Some(held) = &mut self.held {
             held.run.set_end(end);
         }
     }
 
-    fn note_outcome(&mut self, outcome: Outcome, incarnation: Option<Incarnation>) {
+    fn note_outcome(&mut self, outcome: Outcome, incarnation: Option<Incarnation>, age: Duration) {
         let now = Instant::now();
         let latency = now - self.started;
-        self.shared
+        let ejected = self
+            .shared
             .policies
             .note_outcome(&self.pool, &self.upstream, outcome, latency, now);
+        if let Some(until) = ejected {
+            eject_upstream(&self.shared, &self.upstream, until);
+        }
         if outcome == Outcome::Answered {
             self.shared.metrics.observe_latency(&self.upstream, latency);
         }
@@ -101,7 +105,7 @@
             held.slot.set_sample(Sample {
                 outcome,
                 latency,
-                connection_age: Duration::ZERO,
+                connection_age: age,
                 incarnation,
             });
         }
@@ -149,7 +153,7 @@
 
     fn finish(&mut self, ended: Ended) {
         if ended == Ended::Truncated {
-            self.note_failure(Outcome::Failed, RunEnd::Broken);
+            self.note_failure(Outcome::Reset, RunEnd::Broken, self.started.elapsed());
         }
         if let Some(counted) = &mut self.counted {
             counted.end(ended == Ended::Whole);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -304,7 +304,8 @@
             result = exchange => result,
             () = token.cancelled() => {
                 let (verdict, reason) = (Verdict::MayHaveRun, Reason::MoveAborted);
-                return Err(Failure { verdict, reason, request: None, guard: None, probe: false });
+                let age = Duration::ZERO;
+                return Err(Failure { verdict, reason, request: None, guard: None, probe: false, age });
             }
         },
     };
@@ -314,6 +315,7 @@
         request: f.request,
         guard: Some(f.guard),
         probe: f.probe,
+        age: f.age,
     })
 }
 
@@ -325,6 +327,7 @@
     counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Failed> {
     let (mut parts, mut body) = answer.into_parts();
+    let age = body.connection_age();
     let incarnation = find_incarnation(&parts.headers);
     if let Some(before) = incarnation.and_then(|i| shared.policies.note_incarnation(upstream, i)) {
         note_restart(shared, upstream, before);
@@ -338,7 +341,7 @@
             Reason::GrantRefused
         };
         let outcome = if granted { Outcome::Shed } else { Outcome::Cancelled };
-        body.guard().note_head(outcome, incarnation);
+        body.guard().note_head(outcome, incarnation, age);
         // The rest of the short answer is read, so that the connection can be used again.
         body.drain().await;
         return Err(Failed {
@@ -347,7 +350,7 @@
             upstream: Some(upstream.clone()),
         });
     }
-    body.guard().note_head(Outcome::Answered, incarnation);
+    body.guard().note_head(Outcome::Answered, incarnation, age);
     strip_headers(&mut parts.headers);
     mark_answer(&mut parts.headers, call.id, Verdict::Ran);
     if let Some(mut counted) = counted.take() {
@@ -369,16 +372,17 @@
         request,
         guard,
         probe,
+        age,
     } = failure;
     if let Some(mut delivery) = guard {
         let (outcome, end) = match reason {
-            Reason::ConnectionLost => (Outcome::Failed, RunEnd::Broken),
+            Reason::ConnectionLost => (Outcome::Reset, RunEnd::Broken),
             Reason::BodyIncomplete | Reason::BodyTooLarge => (Outcome::Cancelled, RunEnd::Other),
             // A connection that may have gone silent says nothing about the upstream yet.
             _ if probe => (Outcome::Cancelled, RunEnd::Other),
             _ => (Outcome::Failed, RunEnd::Other),
         };
-        delivery.note_failure(outcome, end);
+        delivery.note_failure(outcome, end, age);
     }
     if reason == Reason::ConnectFailed && shared.policies.note_refusing(&target.upstream) {
         tokio::spawn(await_upstream(Arc::clone(shared), target.clone()));
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -60,6 +61,7 @@
     guard: G,
     connections: Arc<Connections>,
     connection: Option<Connection>,
+    opened: Instant,
     last: Option<Frame<Bytes>>,
     stage: Stage,
 }
@@ -79,6 +81,7 @@
             incoming,
             guard,
             connections,
+            opened: connection.opened,
             connection: Some(connection),
             last: None,
             stage: Stage::Streaming,
@@ -93,6 +96,11 @@
         &mut self.guard
     }
 
+    /// Age of the connection that brings the answer.
+    pub(crate) fn connection_age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
     /// Reads the rest of an answer that is not delivered, up to [`DRAIN_MAX`].
     pub(crate) async fn drain(&mut self) {
         let mut left = DRAIN_MAX;
--- a/src/exchange/attempt.rs
+++ b/src/exchange/attempt.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -33,6 +34,8 @@
     pub(crate) guard: G,
     /// The connection may have gone silent; a probe on a new one tells.
     pub(crate) probe: bool,
+    /// Age of the connection that was used.
+    pub(crate) age: Duration,
 }
 
 /// Sends a request and waits for the head of the answer until the deadline.
@@ -63,11 +66,13 @@
                         request,
                         guard,
                         probe: false,
+                        age: Duration::ZERO,
                     });
                 }
             },
         };
         let started = Instant::now();
+        let opened = connection.opened;
         match send(&mut connection, request, deadline).await {
             Ok(head) => {
                 connections.note_answer(connection.id(), Instant::now());
@@ -85,6 +90,7 @@
                     request: Some(*unsent),
                     guard,
                     probe: false,
+                    age: opened.elapsed(),
                 });
             }
             Err(SendError::Sent(reason)) => {
@@ -97,6 +103,7 @@
                     request: None,
                     guard,
                     probe,
+                    age: opened.elapsed(),
                 });
             }
         }
--- a/src/host/agreement.rs
+++ b/src/host/agreement.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::credits::{follow_homes, tick_credits};
+use super::credits::{follow_homes, tick_credits, tick_ejections};
 use super::planner::{Conditions, Loads, PlanSource};
 use super::proposal::{Proposal, propose};
 use super::suspicion::tick_suspicion;
@@ -304,7 +304,7 @@
         };
         tick_credits(&shared, &round.live, now);
         tick_suspicion(&shared, shared.peers.members(), now);
-        shared.policies.tick(now);
+        tick_ejections(&shared, now);
         shared.metrics.set_lease(shared.holds_lease());
         carry_out(&shared, &log, round);
     }
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -10,7 +10,7 @@
 use super::Shared;
 use crate::admission::{
     Admission, Broker, Capacity, Demand, HomeTerm, Instance, Lend, Outcome, Permit, PoolWarmth, Purse, Report, Sample,
-    Step, Ticket, home_host,
+    Sign, Step, Ticket, home_host,
 };
 use crate::fold::State;
 use crate::membership::outlast;
@@ -321,6 +321,35 @@
             .collect()
     }
 
+    /// Ejections that the brokers have passed on, with the time left of each.
+    pub(crate) fn ejections(&self) -> BTreeMap<UpstreamName, Duration> {
+        let tables = self.lock();
+        let lends = tables
+            .purses
+            .iter()
+            .filter_map(|(name, row)| Some((name, row.purse.last_lend()?)));
+        let ejected = lends.filter(|(_, lend)| !lend.ejected.is_zero());
+        ejected.map(|(name, lend)| (name.clone(), lend.ejected)).collect()
+    }
+
+    /// Tells the other hosts, through the upstream's broker, that it is ejected.
+    fn set_ejected(&self, upstream: &UpstreamName, until: Instant, now: Instant) -> Outbox {
+        let mut tables = self.lock();
+        let steps = tables.row(upstream, self).purse.set_ejected(until, now);
+        tables.carry_out(upstream, steps, self, now)
+    }
+
+    /// Lets an upstream whose ejection has ended take work by slow start.
+    fn note_returned(&self, upstream: &UpstreamName, now: Instant) -> Outbox {
+        let mut tables = self.lock();
+        let lends = tables
+            .brokers
+            .get_mut(upstream)
+            .map(|broker| broker.note(Sign::Returned, now));
+        let queue = lends.unwrap_or_default().into_iter().map(CreditMessage::Lend).collect();
+        tables.run_queue(queue, self, now)
+    }
+
     /// Follows the brokers that another host runs.
     fn follow_homes(&self, homes: BTreeMap<UpstreamName, HomeTerm>, now: Instant) -> Outbox {
         let mut tables = self.lock();
@@ -556,6 +585,25 @@
     send_messages(shared, outbox);
 }
 
+/// Ejects an upstream at all hosts.
+pub(crate) fn eject_upstream(shared: &Arc<Shared>, upstream: &UpstreamName, until: Instant) {
+    let outbox = shared.credits.set_ejected(upstream, until, Instant::now());
+    send_messages(shared, outbox);
+}
+
+/// Follows ejections and their ends.
+pub(super) fn tick_ejections(shared: &Arc<Shared>, now: Instant) {
+    shared.policies.follow_ejections(&shared.credits.ejections(), now);
+    let (ejected, returned) = shared.policies.tick(now);
+    for (upstream, until) in ejected {
+        eject_upstream(shared, &upstream, until);
+    }
+    for upstream in returned {
+        let outbox = shared.credits.note_returned(&upstream, now);
+        send_messages(shared, outbox);
+    }
+}
+
 /// Does what time requires.
 pub(super) fn tick_credits(shared: &Arc<Shared>, live: &[HostName], now: Instant) {
     let lease = shared.settings.timing.routing_lease.0;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -37,7 +37,7 @@
 use peer_side::PeerSide;
 
 pub(crate) use counting::ReleaseSignal;
-pub(crate) use credits::{Slot, acquire_alone, acquire_slot};
+pub(crate) use credits::{Slot, acquire_alone, acquire_slot, eject_upstream};
 pub(crate) use proposal::{Proposal, find_proposal, propose};
 pub(crate) use registry::{WonClaim, claim_key};
 pub(crate) use shared::{InFlight, Shared};
--- a/src/host/policies.rs
+++ b/src/host/policies.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::admission::Outcome;
-use crate::choice::{Denial, Ejector, Failure, HedgeBudget, HedgeQuestion, Load, RetryBudget, pick_upstream};
+use crate::choice::{Denial, Ejection, Ejector, Failure, HedgeBudget, HedgeQuestion, Load, RetryBudget, pick_upstream};
 use crate::tables::Pool;
 use crate::types::{Incarnation, PoolName, UpstreamName};
 
@@ -103,7 +103,8 @@
         }
     }
 
-    /// Takes the time to the head of an answer, or that of a failure.
+    /// Takes the time to the head of an answer, or that of a failure. Gives the end of the ejection
+    /// if the upstream is ejected for it.
     pub(crate) fn note_outcome(
         &self,
         pool: &PoolName,
@@ -111,16 +112,17 @@
         outcome: Outcome,
         latency: Duration,
         now: Instant,
-    ) {
+    ) -> Option<Instant> {
         let mut pools = lock(&self.pools);
-        let Some(policy) = pools.get_mut(pool) else { return };
-        policy.ejector.note(upstream, outcome, latency, now);
+        let policy = pools.get_mut(pool)?;
+        let ejection = policy.ejector.note(upstream, outcome, latency, now);
         if outcome == Outcome::Answered {
             policy.hedges.note(latency);
             if let Some(load) = policy.load(upstream) {
                 load.latency.record(latency, now);
             }
         }
+        ejection.and_then(|_| policy.ejector.ejected_until(upstream))
     }
 
     /// Spends a retry on a failed request.
@@ -164,10 +166,30 @@
         lock(&self.incarnations).get(upstream).copied()
     }
 
-    /// Ejects and returns upstreams as time requires.
-    pub(crate) fn tick(&self, now: Instant) {
+    /// Ejects upstreams that are slow, with the end of each ejection, and gives those whose
+    /// ejection has ended.
+    pub(crate) fn tick(&self, now: Instant) -> (BTreeMap<UpstreamName, Instant>, Vec<UpstreamName>) {
+        let mut ejected = BTreeMap::new();
+        let mut returned = Vec::new();
         for policy in lock(&self.pools).values_mut() {
-            policy.ejector.tick(now);
+            for change in policy.ejector.tick(now) {
+                match change {
+                    Ejection::Return(name) => returned.push(name),
+                    Ejection::Eject(name) => {
+                        ejected.extend(policy.ejector.ejected_until(&name).map(|until| (name, until)));
+                    }
+                }
+            }
+        }
+        (ejected, returned)
+    }
+
+    /// Follows the ejections that other hosts decided.
+    pub(crate) fn follow_ejections(&self, ejections: &BTreeMap<UpstreamName, Duration>, now: Instant) {
+        for policy in lock(&self.pools).values_mut() {
+            for (name, left) in ejections {
+                policy.ejector.follow(name, *left, now);
+            }
         }
     }
 
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -2,8 +2,10 @@
 
 mod baselines;
 mod placement;
+mod policy;
 pub(crate) mod pool;
 mod slopes;
 
 pub use placement::run_placement_measures;
+pub use policy::run_policy_measures;
 pub use slopes::run_slope_measures;
