Hedge slow requests and ask further upstreams for a slot

Cause: a request to a shared pool waited for the one upstream that was chosen first, however slow, and was refused if only that one was busy. The losers of hedges left no latency behind, so a slow upstream kept looking fast. Ruled out: a request that still waits for a slot is not hedged; it would wait twice. Change: after the 95th percentile an idempotent request in a shared pool gets a second attempt elsewhere within the hedge budget; a cancelled attempt counts as a lower bound of the latency; up to three upstreams are asked for a slot. Conclusion: the process test bounds it by 30 of 300; an even spread gives 100.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -36,6 +36,11 @@
         &self.tables.routes[self.route]
     }
 
+    /// Tells whether a second attempt may run beside a slow one.
+    pub(super) fn may_hedge(&self) -> bool {
+        self.idempotent && self.key.is_none()
+    }
+
     pub(super) fn pool_name(&self) -> &PoolName {
         &self.route().pool
     }
--- a/src/entry/counted.rs
+++ b/src/entry/counted.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use crate::counts::CountKey;
@@ -14,11 +15,30 @@
 pub(super) struct Counted {
     shared: Arc<Shared>,
     key: CountKey,
-    /// Verdict if the request ended now.
+    /// Verdict of the attempts that have ended.
     verdict: Verdict,
+    sent: SentMark,
     stage: Stage,
 }
 
+/// Tells that an attempt is in flight, so that the request may have run.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SentMark(Arc<AtomicBool>);
+
+impl SentMark {
+    pub(super) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn clear(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 enum Stage {
     Open,
     /// The count of the complete answer is on its way to a holder.
@@ -34,19 +54,36 @@
             shared: Arc::clone(shared),
             key,
             verdict: Verdict::NotRun,
+            sent: SentMark::default(),
             stage: Stage::Open,
         }
     }
 
-    /// Sets the verdict that counts if the request ended now.
+    /// Sets what is known when no attempt is in flight.
     pub(super) fn set_verdict(&mut self, verdict: Verdict) {
+        self.sent.clear();
         self.verdict = verdict;
     }
 
+    /// The mark that attempts set before they send anything.
+    pub(super) fn sent_mark(&self) -> SentMark {
+        self.sent.clone()
+    }
+
+    /// Verdict if the request ended now.
+    fn current(&self) -> Verdict {
+        let in_flight = if self.sent.is_set() {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        self.verdict.max(in_flight)
+    }
+
     /// Counts the request with its verdict; its answer is delivered after the release.
     pub(super) fn finish(&mut self) {
         if matches!(self.stage, Stage::Open) {
-            self.stage = Stage::Releasing(self.shared.counting.finish(&self.key, self.verdict));
+            self.stage = Stage::Releasing(self.shared.counting.finish(&self.key, self.current()));
         }
     }
 
@@ -69,7 +106,7 @@
     /// Notes whether the end of the answer was delivered.
     pub(super) fn end(&mut self, delivered: bool) {
         match std::mem::replace(&mut self.stage, Stage::Ended) {
-            Stage::Open => self.shared.counting.finish_undelivered(&self.key, self.verdict),
+            Stage::Open => self.shared.counting.finish_undelivered(&self.key, self.current()),
             Stage::Releasing(_) | Stage::Released if !delivered => self.shared.counting.unconfirm(&self.key),
             Stage::Releasing(_) | Stage::Released | Stage::Ended => {}
         }
--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -25,6 +25,8 @@
     route: RouteName,
     upstream: UpstreamName,
     started: Instant,
+    /// An outcome was noted.
+    answered: bool,
     held: Option<Held>,
     counted: Option<Counted>,
     aborted: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
@@ -50,6 +52,7 @@
             route: call.route().name.clone(),
             upstream,
             started: Instant::now(),
+            answered: false,
             held: Some(Held { slot, run, pass }),
             counted: None,
             aborted: token.map(|token| Box::pin(token.cancelled_owned())),
@@ -91,6 +94,7 @@
     fn note_outcome(&mut self, outcome: Outcome, incarnation: Option<Incarnation>, age: Duration) {
         let now = Instant::now();
         let latency = now - self.started;
+        self.answered = true;
         let ejected = self
             .shared
             .policies
@@ -117,7 +121,11 @@
             self.shared.agreement.with_gate(|gate| gate.end(pass));
             self.shared.flights.remove(pass.id);
         }
-        self.shared.policies.end_attempt(&self.pool, &self.upstream);
+        let now = Instant::now();
+        let unanswered = (!self.answered).then(|| now - self.started);
+        self.shared
+            .policies
+            .end_attempt(&self.pool, &self.upstream, unanswered, now);
         self.shared.metrics.change_in_flight(&self.upstream, -1);
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use dropshot::Body;
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::call::Call;
-use super::counted::Counted;
+use super::counted::{Counted, SentMark};
 use super::delivery::Delivery;
 use super::headers::{DEADLINE, EPOCH, INCARNATION, KEY_HASH, NOT_RUN, REQUEST_ID, strip_headers};
 use super::refusal::{Refusal, mark_answer};
@@ -34,6 +34,9 @@
 /// the tables meanwhile.
 const UPSTREAM_PROBES: u32 = 300;
 
+/// Upstreams of a shared pool that a request asks for a slot before it is refused.
+const CHOICES_MAX: u32 = 3;
+
 /// A request that is ready to be sent.
 pub(super) struct Outgoing {
     pub(super) parts: Parts,
@@ -119,6 +122,22 @@
     }
 }
 
+/// What one of several attempts of a request knows of the others.
+struct Attempt {
+    /// Upstreams that are used only where no other serves.
+    tried: BTreeSet<UpstreamName>,
+    sent: SentMark,
+    /// The upstream, once the request has been sent to it.
+    chosen: OnceLock<UpstreamName>,
+}
+
+/// An answer whose head has arrived.
+struct Arrived {
+    upstream: UpstreamName,
+    answer: Response<AnswerBody<Delivery>>,
+}
+
+/// Makes an attempt, and a second one beside it if the first is slow and the budget allows it.
 async fn attempt(
     shared: &Arc<Shared>,
     call: &Call,
@@ -127,7 +146,71 @@
     tried: &BTreeSet<UpstreamName>,
     counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Failed> {
-    let (slot, pass) = match reserve(shared, call, outgoing.alone, tried).await {
+    let sent = counted.as_ref().map(Counted::sent_mark).unwrap_or_default();
+    let own = Attempt {
+        tried: tried.clone(),
+        sent,
+        chosen: OnceLock::new(),
+    };
+    let copy = if call.may_hedge() { body.replay() } else { None };
+    let first = attempt_once(shared, call, outgoing, body, &own);
+    let arrived = match copy.zip(shared.policies.hedge_delay(call.pool_name())) {
+        None => first.await?,
+        Some((copy, delay)) => {
+            let hedge = hedge_after(shared, call, outgoing, copy, &own, delay);
+            // The loser is dropped, which cancels it down to its upstream.
+            tokio::select! {
+                result = first => result?,
+                arrived = hedge => arrived,
+            }
+        }
+    };
+    take_answer(shared, call, arrived, counted).await
+}
+
+/// Waits for a hedge to be due and makes it; without an answer it leaves the decision to the
+/// first attempt.
+async fn hedge_after(
+    shared: &Arc<Shared>,
+    call: &Call,
+    outgoing: &Outgoing,
+    body: ForwardBody,
+    first: &Attempt,
+    delay: Duration,
+) -> Arrived {
+    let started = Instant::now();
+    tokio::time::sleep(delay).await;
+    // A request that still waits for a slot is not helped by a second one that waits.
+    let Some(slow) = first.chosen.get() else {
+        return std::future::pending().await;
+    };
+    let mut tried = first.tried.clone();
+    tried.insert(slow.clone());
+    let own = Attempt {
+        tried,
+        sent: first.sent.clone(),
+        chosen: OnceLock::new(),
+    };
+    if shared
+        .policies
+        .spend_hedge(call.pool_name(), call.idempotent, call.key.is_none(), started.elapsed())
+    {
+        shared.metrics.count_hedge(&call.route().name);
+        if let Ok(arrived) = attempt_once(shared, call, outgoing, body, &own).await {
+            return arrived;
+        }
+    }
+    std::future::pending().await
+}
+
+async fn attempt_once(
+    shared: &Arc<Shared>,
+    call: &Call,
+    outgoing: &Outgoing,
+    body: ForwardBody,
+    own: &Attempt,
+) -> Result<Arrived, Failed> {
+    let (slot, pass) = match reserve(shared, call, outgoing.alone, &own.tried).await {
         Ok(reserved) => reserved,
         Err(reason) => return Err(Failed::before_sending(reason, body)),
     };
@@ -141,9 +224,10 @@
     let request = build_request(call, &outgoing.parts, pass.as_ref(), body);
     let run = WatchedRun::start(shared, outgoing.fingerprint, &upstream, target.address, outgoing.alone);
     let delivery = Delivery::start(shared, call, slot, run, pass);
-    set_verdict(counted, Verdict::MayHaveRun);
+    own.sent.set();
+    own.chosen.set(upstream.clone()).ok();
     match send(shared, call, &target, request, delivery).await {
-        Ok(answer) => take_answer(shared, call, &upstream, answer, counted).await,
+        Ok(answer) => Ok(Arrived { upstream, answer }),
         Err(failure) => Err(take_failure(shared, call, &target, failure)),
     }
 }
@@ -160,12 +244,25 @@
         caller: call.caller.clone(),
         deadline: call.deadline,
     };
+    let mut busy = tried.clone();
+    let mut refused = 0;
     loop {
-        let upstream = choose_upstream(shared, call, tried).await?;
-        let slot = if alone {
-            acquire_alone(shared, &upstream, &demand).await?
+        let upstream = choose_upstream(shared, call, &busy).await?;
+        let result = if alone {
+            acquire_alone(shared, &upstream, &demand).await
         } else {
-            acquire_slot(shared, &upstream, &demand).await?
+            acquire_slot(shared, &upstream, &demand).await
+        };
+        let slot = match result {
+            Ok(slot) => slot,
+            Err(reason) => {
+                refused += 1;
+                if call.key.is_some() || refused >= CHOICES_MAX || Instant::now() >= call.deadline {
+                    return Err(reason);
+                }
+                busy.insert(upstream);
+                continue;
+            }
         };
         let Some(hash) = call.key else { return Ok((slot, None)) };
         let begun = {
@@ -322,15 +419,15 @@
 async fn take_answer(
     shared: &Arc<Shared>,
     call: &Call,
-    upstream: &UpstreamName,
-    answer: Response<AnswerBody<Delivery>>,
+    arrived: Arrived,
     counted: &mut Option<Counted>,
 ) -> Result<Response<Body>, Failed> {
+    let Arrived { upstream, answer } = arrived;
     let (mut parts, mut body) = answer.into_parts();
     let age = body.connection_age();
     let incarnation = find_incarnation(&parts.headers);
-    if let Some(before) = incarnation.and_then(|i| shared.policies.note_incarnation(upstream, i)) {
-        note_restart(shared, upstream, before);
+    if let Some(before) = incarnation.and_then(|i| shared.policies.note_incarnation(&upstream, i)) {
+        note_restart(shared, &upstream, before);
     }
     let refused = parts.headers.get(NOT_RUN).is_some_and(|value| value == "true");
     if refused && call.pool().trusted_refusals {
@@ -347,7 +444,7 @@
         return Err(Failed {
             refusal: Refusal::not_run(reason),
             unsent: None,
-            upstream: Some(upstream.clone()),
+            upstream: Some(upstream),
         });
     }
     body.guard().note_head(Outcome::Answered, incarnation, age);
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -332,6 +332,20 @@
         ejected.map(|(name, lend)| (name.clone(), lend.ejected)).collect()
     }
 
+    /// Share of the slots of upstreams in use, if all hosts use as many as this one.
+    fn utilisation<'a>(&self, upstreams: impl Iterator<Item = &'a UpstreamName>, hosts: usize) -> f64 {
+        let tables = self.lock();
+        let rows = upstreams.filter_map(|name| tables.purses.get(name));
+        let lent = rows.filter_map(|row| Some((row.purse.running(), row.purse.last_lend()?.limit)));
+        let (running, limit) = lent.fold((0, 0), |(r, l), (running, limit)| (r + running, l + limit));
+        let hosts = f64::from(u32::try_from(hosts).unwrap_or(u32::MAX));
+        if limit == 0 {
+            1.0
+        } else {
+            f64::from(running) * hosts / f64::from(limit)
+        }
+    }
+
     /// Tells the other hosts, through the upstream's broker, that it is ejected.
     fn set_ejected(&self, upstream: &UpstreamName, until: Instant, now: Instant) -> Outbox {
         let mut tables = self.lock();
@@ -594,6 +608,15 @@
 /// Follows ejections and their ends.
 pub(super) fn tick_ejections(shared: &Arc<Shared>, now: Instant) {
     shared.policies.follow_ejections(&shared.credits.ejections(), now);
+    {
+        let state = shared.state();
+        for (name, pool) in &state.tables.pools {
+            let used = shared
+                .credits
+                .utilisation(pool.upstreams.keys(), state.membership.members.len());
+            shared.policies.set_utilisation(name, used);
+        }
+    }
     let (ejected, returned) = shared.policies.tick(now);
     for (upstream, until) in ejected {
         eject_upstream(shared, &upstream, until);
--- a/src/host/policies.rs
+++ b/src/host/policies.rs
@@ -97,9 +97,24 @@
     }
 
     /// Counts the end of an attempt.
-    pub(crate) fn end_attempt(&self, pool: &PoolName, upstream: &UpstreamName) {
-        if let Some(load) = lock(&self.pools).get_mut(pool).and_then(|p| p.load(upstream)) {
-            load.in_flight = load.in_flight.saturating_sub(1);
+    ///
+    /// `unanswered` is the length of one that was cancelled before its answer came. It is a lower
+    /// bound of the latency; without it, the losers of hedges would leave a slow upstream looking
+    /// fast.
+    pub(crate) fn end_attempt(
+        &self,
+        pool: &PoolName,
+        upstream: &UpstreamName,
+        unanswered: Option<Duration>,
+        now: Instant,
+    ) {
+        let mut pools = lock(&self.pools);
+        let Some(load) = pools.get_mut(pool).and_then(|p| p.load(upstream)) else {
+            return;
+        };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        if let Some(bound) = unanswered.filter(|bound| bound.as_secs_f64() > load.latency.seconds(now)) {
+            load.latency.record(bound, now);
         }
     }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -23,6 +23,7 @@
     requests: Family<Labels<2>, Counter>,
     refusals: Family<Labels<2>, Counter>,
     retries: Family<Labels<2>, Counter>,
+    hedges: Family<Labels<1>, Counter>,
     latency: Family<Labels<1>, Histogram>,
     in_flight: Family<Labels<1>, Gauge>,
     skipped: Counter,
@@ -37,6 +38,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
+            hedges: Family::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS)),
             in_flight: Family::default(),
             skipped: Counter::default(),
@@ -60,6 +62,11 @@
             "Further attempts by route and reason of the last failure",
             self.retries.clone(),
         );
+        r.register(
+            "hedges",
+            "Second attempts beside a slow one, by route",
+            self.hedges.clone(),
+        );
         r.register(
             "upstream_latency_seconds",
             "Time to the head of an answer",
@@ -107,6 +114,10 @@
             .inc();
     }
 
+    pub(crate) fn count_hedge(&self, route: &RouteName) {
+        self.hedges.get_or_create(&[("route", route.to_string())]).inc();
+    }
+
     pub(crate) fn observe_latency(&self, upstream: &UpstreamName, latency: Duration) {
         self.latency
             .get_or_create(&[("upstream", upstream.to_string())])
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -144,9 +144,9 @@
         }
         let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
         self.note_run(request.headers(), busy);
-        let answer = self.work(request).await;
-        self.busy.fetch_sub(1, Ordering::SeqCst);
-        answer
+        // A cancelled request drops this future, and is no longer in progress.
+        let _busy = Busy(&self.busy);
+        self.work(request).await
     }
 
     async fn work(&self, request: Request<Incoming>) -> Answer {
@@ -228,6 +228,15 @@
     }
 }
 
+/// Counts a request in progress until dropped.
+struct Busy<'a>(&'a AtomicU64);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn find_parameter(query: &str, name: &str) -> Option<u64> {
     let value = query
         .split('&')
--- a/standins/tests/processes.rs
+++ b/standins/tests/processes.rs
@@ -244,3 +244,34 @@
         .sum();
     assert_eq!(ran, 1);
 }
+
+/// Guards against a caller that waits for one slow upstream while others of the pool are free.
+#[test]
+fn a_slow_upstream_of_a_shared_pool_gets_little_work() {
+    let platform = start_platform();
+    let zones = ["a", "b", "c"];
+    let hosts: Vec<Host> = zones
+        .iter()
+        .map(|z| start_host(&format!("entry-{z}"), z, platform.address))
+        .collect();
+    let fast = [
+        start_upstream("fast-1", "127.0.0.1:0", &[]),
+        start_upstream("fast-2", "127.0.0.1:0", &[]),
+    ];
+    let slow = start_upstream("slow", "127.0.0.1:0", &["--service-ms", "500"]);
+    let line = |name: &str, address| {
+        format!("    {name}: {{ host: {name}, zone: a, address: '{address}', slots: 4, connections: 100 }}\n")
+    };
+    let upstreams = line("fast-1", fast[0].address) + &line("fast-2", fast[1].address) + &line("slow", slow.address);
+    let pools = format!("padrones:\n  ownership: shared\n  trusted_refusals: true\n  upstreams:\n{upstreams}");
+    let routes = "- { name: padrones, prefix: /padrones/, callers: { names: [ventanilla] }, pool: padrones }\n";
+    publish(&hosts, routes, &pools);
+    for i in 0..300 {
+        let answer = get(hosts[i % 3].process.address, &format!("/padrones/{i}")).expect("an answer");
+        assert_eq!(answer.status, 200, "request {i}: {answer:?}");
+    }
+    let ran = report(slow.address)["ran"].as_u64().unwrap();
+    println!("the slow upstream ran {ran} of 300 requests");
+    // An even spread would give it 100.
+    assert!(ran <= 30, "the slow upstream ran {ran} of 300 requests");
+}
