Check input at the doors of operators and tell what became of a change

Cause: `publish` and `host` stopped at the first fault of a file and gave no place; a wrong zone name was accepted; a zone could be taken out without room for its load; a change whose answer was lost was asked for at one host only, and a timeout after sending was told as "can't be reached". The operator API read a body before it checked the credential. Ruled out: a credential check as a shared extractor of dropshot (it can't reach the settings of the host, as it is generic over the context); a look-up of lost changes at the first address only (that host may be the one that was lost). Change: files go through `parse_settings` and `parse_tables`, the operator API applies the same rules to tables that come as JSON; `check`, `change`, several addresses, filters of `ownership`, exit codes 5 and 6, `--json` for all commands. Answers of the HTTP server itself to heads that it can't read (400, 405, 431) carry no verdict.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{Method, Request};
+use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -28,8 +28,8 @@
     Unreachable(SocketAddr, String),
     /// host {0} did not answer: {1}
     Lost(SocketAddr, String),
-    /// host {0} refused the call: {1}
-    Refused(SocketAddr, String),
+    /// host {0} refused the call with status {1}: {2}
+    Refused(SocketAddr, StatusCode, String),
     /// host {0} gave an answer that can't be read: {1}
     Answer(SocketAddr, String),
 }
@@ -43,6 +43,11 @@
 }
 
 impl HostClient {
+    /// Address of the host.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub(crate) fn new(address: SocketAddr, credential: String) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
@@ -79,23 +84,16 @@
             .body(Full::new(body))
             .map_err(|e| CallError::Unreachable(self.address, e.to_string()))?;
         let exchange = async {
-            let answer = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let answer = self.client.request(request).await.map_err(|e| self.explain(&e))?;
             let status = answer.status();
-            let body = Limited::new(answer.into_body(), ANSWER_MAX)
-                .collect()
-                .await
-                .map_err(|e| e.to_string())?;
+            let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+            let body = body.map_err(|e| CallError::Lost(self.address, e.to_string()))?;
             Ok((status, body.to_bytes()))
         };
-        let result = timeout(CALL_LIMIT, exchange)
-            .await
-            .unwrap_or_else(|_| Err("timeout".to_owned()));
-        let (status, body) = result.map_err(|e| CallError::Unreachable(self.address, e))?;
+        let late = |_| Err(CallError::Lost(self.address, "timeout".to_owned()));
+        let (status, body) = timeout(CALL_LIMIT, exchange).await.unwrap_or_else(late)?;
         if !status.is_success() {
-            return Err(CallError::Refused(
-                self.address,
-                String::from_utf8_lossy(&body).into_owned(),
-            ));
+            return Err(CallError::Refused(self.address, status, find_message(&body)));
         }
         serde_json::from_slice(&body).map_err(|e| CallError::Answer(self.address, e.to_string()))
     }
@@ -109,3 +107,10 @@
         }
     }
 }
+
+/// Takes the message out of an error of the operator API.
+fn find_message(body: &[u8]) -> String {
+    let error: Option<serde_json::Value> = serde_json::from_slice(body).ok();
+    let message = error.as_ref().and_then(|error| error["message"].as_str());
+    message.map_or_else(|| String::from_utf8_lossy(body).into_owned(), str::to_owned)
+}
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,38 +1,40 @@
 //! The command line.
 
-use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use futures::future::join_all;
+use serde_json::json;
 
-use super::client::{CallError, HostClient};
-use super::messages::{Change, ChangeRequest, ChangeResult, OwnedRange, Status};
+use super::change::{ask_capacity, find_change, submit_change};
+use super::client::HostClient;
+use super::files::{read_file, read_settings, read_tables};
+use super::messages::{Change, ChangeRequest, OwnedRange};
+use super::output::{
+    ChangeReport, Ending, Failure, HostReport, print, print_capacity, print_hosts, print_range, print_report,
+    print_valid,
+};
 use crate::host::run_host;
 use crate::records::ServiceTarget;
-use crate::settings::Settings;
-use crate::tables::Tables;
-use crate::types::{Offset, RecordId};
-
-/// Writes a line; a reader that has closed the pipe is no error.
-macro_rules! say {
-    ($($text:tt)+) => {
-        writeln!(std::io::stdout(), $($text)+).unwrap_or_default()
-    };
-}
+use crate::tables::CapacityReport;
+use crate::types::{BadName, Offset, PoolName, RecordId, UpstreamName};
 
 /// Router for servers that own keys exclusively
 ///
 /// Exit codes: 0 done, 1 failed without effect, 2 wrong usage, 3 another change came first,
-/// 4 not known whether the change took effect.
+/// 4 not known whether the change took effect, 5 input refused and nothing changed, 6 the rest
+/// can't carry the load and nothing changed.
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
     #[command(subcommand)]
     command: Command,
+    /// Write results as JSON
+    #[arg(long, global = true)]
+    json: bool,
 }
 
 #[derive(Debug, Subcommand)]
@@ -43,14 +45,13 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Checks files without starting or publishing anything
+    #[command(subcommand)]
+    Check(Check),
     /// Publishes the routes and pools tables
     Publish {
-        /// Routes table (YAML)
-        #[arg(long)]
-        routes: PathBuf,
-        /// Pools table (YAML)
-        #[arg(long)]
-        pools: PathBuf,
+        #[command(flatten)]
+        files: TableFiles,
         #[command(flatten)]
         change: ChangeOptions,
         #[command(flatten)]
@@ -64,24 +65,64 @@
         scope: Scope,
         /// Name of the availability zone or host
         name: String,
+        /// Take out of service even if the rest can't carry the load
+        #[arg(long)]
+        force: bool,
         #[command(flatten)]
         change: ChangeOptions,
         #[command(flatten)]
         access: Access,
     },
-    /// Shows the state of a host
+    /// Tells what became of a change whose answer was lost
+    Change {
+        /// Id of the change
+        id: RecordId,
+        #[command(flatten)]
+        access: Access,
+    },
+    /// Shows the state of hosts and the configuration in force at each
     Status {
         #[command(flatten)]
         access: Access,
     },
     /// Lists key ranges with their owners
     Ownership {
+        /// Only ranges of this pool
+        #[arg(long)]
+        pool: Option<PoolName>,
+        /// Only ranges of this upstream
+        #[arg(long)]
+        upstream: Option<UpstreamName>,
         #[command(flatten)]
         access: Access,
     },
 }
 
-#[derive(Clone, Copy, Debug, ValueEnum)]
+#[derive(Debug, Subcommand)]
+enum Check {
+    /// Checks a settings file
+    Settings {
+        /// Settings file (YAML)
+        file: PathBuf,
+    },
+    /// Checks the routes and pools tables together
+    Tables {
+        #[command(flatten)]
+        files: TableFiles,
+    },
+}
+
+#[derive(Debug, Args)]
+struct TableFiles {
+    /// Routes table (YAML)
+    #[arg(long)]
+    routes: PathBuf,
+    /// Pools table (YAML)
+    #[arg(long)]
+    pools: PathBuf,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Direction {
     Out,
     In,
@@ -93,18 +134,15 @@
     Host,
 }
 
-/// How to reach a host.
+/// How to reach hosts.
 #[derive(Debug, Args)]
 struct Access {
-    /// Address of a host's interface for operators
-    #[arg(long, default_value = "127.0.0.1:7200")]
-    address: SocketAddr,
+    /// Address of a host's interface for operators; can be repeated
+    #[arg(long = "address", value_name = "ADDRESS", default_value = "127.0.0.1:7200")]
+    addresses: Vec<SocketAddr>,
     /// File with the operator credential
     #[arg(long)]
     credential: PathBuf,
-    /// Write JSON instead of text
-    #[arg(long)]
-    json: bool,
 }
 
 #[derive(Debug, Args)]
@@ -117,22 +155,13 @@
     author: String,
 }
 
-/// How a command ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ending {
-    Done,
-    Failed,
-    Conflict,
-    Unknown,
-}
-
-impl From<Ending> for ExitCode {
-    fn from(ending: Ending) -> Self {
-        match ending {
-            Ending::Done => Self::SUCCESS,
-            Ending::Failed => Self::FAILURE,
-            Ending::Conflict => Self::from(3),
-            Ending::Unknown => Self::from(4),
+impl ChangeOptions {
+    fn build_request(self, change: Change) -> ChangeRequest {
+        ChangeRequest {
+            id: RecordId::draw(),
+            author: self.author,
+            base: self.base,
+            change,
         }
     }
 }
@@ -144,167 +173,158 @@
 /// Panics if the asynchronous runtime can't be started.
 #[must_use]
 pub fn run_command() -> ExitCode {
-    let arguments = Arguments::parse();
+    let Arguments { command, json } = Arguments::parse();
     let runtime = tokio::runtime::Runtime::new().expect("threads for the runtime");
-    match runtime.block_on(dispatch(arguments.command)) {
-        Ok(ending) => ending.into(),
-        Err(message) => {
-            eprintln!("error: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    let result = runtime.block_on(dispatch(command, json));
+    let ending = result.unwrap_or_else(|failure| {
+        failure.print(json);
+        failure.ending()
+    });
+    ending.into()
 }
 
-async fn dispatch(command: Command) -> Result<Ending, String> {
+async fn dispatch(command: Command, json: bool) -> Result<Ending, Failure> {
     match command {
         Command::Host { settings } => {
-            let settings: Settings = read_yaml(&settings)?;
-            run_host(settings).await.map_err(|e| e.to_string())?;
+            let settings = read_settings(&settings)?;
+            run_host(settings).await.map_err(|e| Failure::Failed(e.to_string()))?;
             Ok(Ending::Done)
         }
-        Command::Publish {
-            routes,
-            pools,
-            change,
-            access,
-        } => {
-            let tables = Tables {
-                routes: read_yaml(&routes)?,
-                pools: read_yaml(&pools)?,
-            };
-            make_change(Change::Publish(Box::new(tables)), change, &access).await
+        Command::Check(check) => check_files(&check, json),
+        Command::Publish { files, change, access } => {
+            let tables = read_tables(&files.routes, &files.pools)?;
+            let request = change.build_request(Change::Publish(Box::new(tables)));
+            let report = submit_change(&access.clients()?, &request).await?;
+            Ok(finish_change(json, &report))
         }
         Command::Service {
             direction,
             scope,
             name,
+            force,
             change,
             access,
         } => {
-            let bad = |e: crate::types::BadName| e.to_string();
-            let target = match scope {
-                Scope::Zone => ServiceTarget::Zone(name.parse().map_err(bad)?),
-                Scope::Host => ServiceTarget::Host(name.parse().map_err(bad)?),
+            let (target, hosts) = (parse_target(scope, &name)?, access.clients()?);
+            let capacity = match direction {
+                Direction::Out => Some(check_load(&hosts, &target, force, json).await?),
+                Direction::In => None,
             };
-            let in_service = matches!(direction, Direction::In);
-            make_change(Change::SetService { target, in_service }, change, &access).await
+            let in_service = direction == Direction::In;
+            let request = change.build_request(Change::SetService { target, in_service });
+            let report = submit_change(&hosts, &request).await?;
+            Ok(finish_change(json, &ChangeReport { capacity, ..report }))
         }
-        Command::Status { access } => {
-            let status: Status = access.client()?.get("/v1/status").await.map_err(|e| e.to_string())?;
-            access.print(&status, print_status);
-            Ok(Ending::Done)
+        Command::Change { id, access } => {
+            let result = find_change(&access.clients()?, id, Duration::ZERO).await;
+            let report = ChangeReport {
+                change: id,
+                result,
+                asked_again: None,
+                capacity: None,
+            };
+            Ok(finish_change(json, &report))
         }
-        Command::Ownership { access } => {
-            let ranges: Vec<OwnedRange> = access.client()?.get("/v1/ownership").await.map_err(|e| e.to_string())?;
-            access.print(&ranges, |ranges| ranges.iter().for_each(print_range));
-            Ok(Ending::Done)
+        Command::Status { access } => show_status(&access.clients()?, json).await,
+        Command::Ownership { pool, upstream, access } => {
+            let path = build_filter(pool.as_ref(), upstream.as_ref());
+            show_ownership(&access.clients()?, &path, json).await
         }
     }
 }
 
-fn read_file(path: &Path) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+fn check_files(check: &Check, json: bool) -> Result<Ending, Failure> {
+    match check {
+        Check::Settings { file } => drop(read_settings(file)?),
+        Check::Tables { files } => drop(read_tables(&files.routes, &files.pools)?),
+    }
+    print(json, &json!({ "result": "valid" }), |_| print_valid());
+    Ok(Ending::Done)
 }
 
-fn read_yaml<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
-    serde_saphyr::from_str(&read_file(path)?).map_err(|e| format!("{}: {e}", path.display()))
+fn parse_target(scope: Scope, name: &str) -> Result<ServiceTarget, Failure> {
+    let bad = |e: BadName| Failure::Target(e.to_string());
+    Ok(match scope {
+        Scope::Zone => ServiceTarget::Zone(name.parse().map_err(bad)?),
+        Scope::Host => ServiceTarget::Host(name.parse().map_err(bad)?),
+    })
 }
 
-impl Access {
-    fn client(&self) -> Result<HostClient, String> {
-        let credential = read_file(&self.credential)?.trim().to_owned();
-        Ok(HostClient::new(self.address, credential))
+/// Says whether the rest can carry the load, before anything is changed.
+async fn check_load(
+    hosts: &[HostClient],
+    target: &ServiceTarget,
+    force: bool,
+    json: bool,
+) -> Result<CapacityReport, Failure> {
+    let capacity = ask_capacity(hosts, target).await?;
+    if !json {
+        print_capacity(&capacity);
     }
-
-    fn print<T: Serialize>(&self, value: &T, print: impl FnOnce(&T)) {
-        if self.json {
-            say!("{}", serde_json::to_string(value).unwrap_or_default());
-        } else {
-            print(value);
-        }
+    if capacity.suffices() || force {
+        Ok(capacity)
+    } else {
+        Err(Failure::Overload(capacity))
     }
 }
 
-async fn make_change(change: Change, options: ChangeOptions, access: &Access) -> Result<Ending, String> {
-    let client = access.client()?;
-    let request = ChangeRequest {
-        id: RecordId::draw(),
-        author: options.author,
-        base: options.base,
-        change,
-    };
-    let result = match client.post("/v1/changes", &request).await {
-        Ok(result) => result,
-        Err(CallError::Refused(_, why)) => ChangeResult::Refused { why },
-        Err(error @ CallError::Unreachable(..)) => return Err(error.to_string()),
-        // The host may have appended the record before its answer was lost.
-        Err(error) => match client.get(&format!("/v1/changes/{}", request.id)).await {
-            Ok(found) => found,
-            Err(_) => ChangeResult::Unknown {
-                id: request.id,
-                why: error.to_string(),
-            },
-        },
-    };
-    access.print(&result, print_result);
-    Ok(match result {
-        ChangeResult::Applied { .. } => Ending::Done,
-        ChangeResult::Conflict { .. } => Ending::Conflict,
-        ChangeResult::Refused { .. } => Ending::Failed,
-        ChangeResult::Unknown { .. } => Ending::Unknown,
-    })
+fn finish_change(json: bool, report: &ChangeReport) -> Ending {
+    print(json, report, print_report);
+    report.ending()
 }
 
-fn print_result(result: &ChangeResult) {
-    match result {
-        ChangeResult::Applied { version } => say!("applied, version {version}"),
-        ChangeResult::Conflict { version, author } => {
-            say!("not applied: version {version} by {author} came first; look at it and try again");
-        }
-        ChangeResult::Refused { why } => say!("not applied: {why}"),
-        ChangeResult::Unknown { id, why } => {
-            say!("not known whether change {id} took effect: {why}");
-        }
+async fn show_status(hosts: &[HostClient], json: bool) -> Result<Ending, Failure> {
+    let reports = join_all(hosts.iter().map(ask_status)).await;
+    // One host is shown without a list around it.
+    if let [only] = reports.as_slice() {
+        let failure = || Failure::Failed(only.error.clone().unwrap_or_default());
+        let status = only.status.as_ref().ok_or_else(failure)?;
+        print(json, status, |_| print_hosts(&reports));
+        return Ok(Ending::Done);
     }
+    print(json, &reports, |reports| print_hosts(reports));
+    let complete = reports.iter().all(|report| report.status.is_some());
+    Ok(if complete { Ending::Done } else { Ending::Failed })
 }
 
-fn print_status(status: &Status) {
-    let Status {
-        host,
-        zone,
-        ready,
-        draining,
-        in_flight,
-        folded,
-        ..
-    } = status;
-    say!("confirms leases of peers {}", status.confirms_peers);
-    say!("host {host}, availability zone {zone}");
-    say!("ready {ready}, draining {draining}, requests in flight {in_flight}");
-    say!("log folded to {folded}, tables version {}", status.tables_version);
-    say!(
-        "leader {} of term {}",
-        status.leader.as_deref().unwrap_or("none"),
-        status.term
-    );
-    for (member, zone) in &status.members {
-        say!("member {member} in {zone}");
+async fn ask_status(host: &HostClient) -> HostReport {
+    let (status, error) = match host.get("/v1/status").await {
+        Ok(status) => (Some(status), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
+    HostReport {
+        address: host.address(),
+        status,
+        error,
     }
-    for target in &status.out_of_service {
-        say!("out of service: {target:?}");
+}
+
+fn build_filter(pool: Option<&PoolName>, upstream: Option<&UpstreamName>) -> String {
+    let pool = pool.map(|name| format!("pool={name}"));
+    let upstream = upstream.map(|name| format!("upstream={name}"));
+    let filters: Vec<String> = pool.into_iter().chain(upstream).collect();
+    format!("/v1/ownership?{}", filters.join("&"))
+}
+
+/// Lists the ranges as the first host that answers knows them.
+async fn show_ownership(hosts: &[HostClient], path: &str, json: bool) -> Result<Ending, Failure> {
+    let mut failures = Vec::new();
+    for host in hosts {
+        match host.get::<Vec<OwnedRange>>(path).await {
+            Ok(ranges) => {
+                print(json, &ranges, |ranges| ranges.iter().for_each(print_range));
+                return Ok(Ending::Done);
+            }
+            Err(error) => failures.push(error.to_string()),
+        }
     }
+    Err(Failure::Failed(failures.join("; ")))
 }
 
-fn print_range(range: &OwnedRange) {
-    let OwnedRange {
-        pool,
-        range,
-        owner,
-        epoch,
-        frozen,
-    } = range;
-    say!(
-        "{pool} {range} {owner} epoch {epoch}{}",
-        if *frozen { " frozen" } else { "" }
-    );
+impl Access {
+    fn clients(self) -> Result<Vec<HostClient>, Failure> {
+        let credential = read_file(&self.credential)?.trim().to_owned();
+        let connect = |address| HostClient::new(address, credential.clone());
+        Ok(self.addresses.into_iter().map(connect).collect())
+    }
 }
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -50,7 +50,11 @@
         pub(crate) in_flight: u32,
         pub(crate) folded: Offset,
         pub(crate) tables_version: Offset,
+        /// Who published the tables in force.
+        pub(crate) tables_author: String,
         pub(crate) service_version: Offset,
+        /// Who last took something out of service or back in.
+        pub(crate) service_author: String,
         pub(crate) out_of_service: Vec<ServiceTarget>,
         pub(crate) members: BTreeMap<String, String>,
         pub(crate) leader: Option<String>,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,8 +1,12 @@
 //! The operators' side: HTTP server and command line.
 
+mod capacity;
+mod change;
 mod client;
 mod command;
+mod files;
 mod messages;
+mod output;
 mod server;
 
 pub use command::run_command;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -4,22 +4,26 @@
 use std::time::Duration;
 
 use dropshot::{
-    ApiDescription, Body, ClientErrorStatusCode, ConfigDropshot, HttpError, HttpResponseOk, HttpServer, Path,
-    RequestContext, ServerBuilder, TypedBody, endpoint,
+    ApiDescription, Body, ClientErrorStatusCode, ConfigDropshot, HttpError, HttpResponseOk, HttpServer, Path, Query,
+    RawRequest, RequestContext, ServerBuilder, endpoint,
 };
 use http::Response;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http_body_util::{BodyExt, Limited};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use subtle::ConstantTimeEq;
 use tokio::time::Instant;
 
+use super::capacity::count_slots_in_use;
+use super::files::check_published;
 use super::messages::{Change, ChangeRequest, ChangeResult, Document, OwnedRange, Status};
 use crate::fold::{Outcome, State};
 use crate::host::{Proposal, Shared, find_proposal, propose};
 use crate::log::HttpLog;
-use crate::records::{Envelope, Record};
+use crate::records::{Envelope, Record, ServiceTarget};
+use crate::tables::check_capacity;
 use crate::telemetry::quiet_logger;
 use crate::types::RecordId;
 
@@ -42,6 +46,20 @@
     id: String,
 }
 
+/// Which ranges to list; without a filter, all.
+#[derive(Deserialize, JsonSchema)]
+struct RangeFilter {
+    pool: Option<String>,
+    upstream: Option<String>,
+}
+
+/// An availability zone or host by its name.
+#[derive(Deserialize, JsonSchema)]
+struct TargetQuery {
+    scope: String,
+    name: String,
+}
+
 fn check_credential(context: &Context) -> Result<(), HttpError> {
     let expected = format!("Bearer {}", context.context().shared.settings.credentials.operators.0);
     let given = context
@@ -76,18 +94,36 @@
 
 /// Lists key ranges with their owners.
 #[endpoint { method = GET, path = "/v1/ownership" }]
-async fn show_ownership(context: Context) -> Result<HttpResponseOk<Document>, HttpError> {
+async fn show_ownership(context: Context, filter: Query<RangeFilter>) -> Result<HttpResponseOk<Document>, HttpError> {
+    check_credential(&context)?;
+    answer(&list_ranges(&context.context().shared.state(), &filter.into_inner()))
+}
+
+/// Tells whether the rest can carry the load without an availability zone or host.
+#[endpoint { method = GET, path = "/v1/capacity" }]
+async fn show_capacity(context: Context, query: Query<TargetQuery>) -> Result<HttpResponseOk<Document>, HttpError> {
     check_credential(&context)?;
-    answer(&list_ranges(&context.context().shared.state()))
+    let TargetQuery { scope, name } = query.into_inner();
+    let bad = |e: String| HttpError::for_bad_request(None, e);
+    let target = serde_json::json!({ "scope": scope, "name": name });
+    let target: ServiceTarget = serde_json::from_value(target).map_err(|e| bad(e.to_string()))?;
+    let shared = &context.context().shared;
+    let state = shared.state();
+    state.check_service_target(&target).map_err(|e| bad(e.to_string()))?;
+    let in_use = count_slots_in_use(&state.tables, &shared.metrics.render());
+    answer(&check_capacity(&state.tables, &state.service, &target, &in_use))
 }
 
 /// Makes a change and tells what became of it.
 #[endpoint { method = POST, path = "/v1/changes", request_body_max_bytes = BODY_MAX }]
-async fn make_change(context: Context, body: TypedBody<Document>) -> Result<HttpResponseOk<Document>, HttpError> {
+async fn make_change(context: Context, request: RawRequest) -> Result<HttpResponseOk<Document>, HttpError> {
+    // A typed body would be read before the credential is checked.
     check_credential(&context)?;
-    let bad = |e: serde_json::Error| HttpError::for_bad_request(None, e.to_string());
-    let request: ChangeRequest = serde_json::from_value(body.into_inner().0).map_err(bad)?;
+    let request = read_change(request.into_inner().into_body()).await?;
     let Operators { shared, platform } = context.context();
+    if let Err(why) = check_change(&shared.state(), &request.change) {
+        return answer(&ChangeResult::Refused { why });
+    }
     let envelope = build_record(&shared.state(), request);
     let proposal = propose(shared, platform, &envelope, CHANGE_LIMIT).await;
     let result = explain(envelope.id, proposal);
@@ -95,6 +131,29 @@
     answer(&result)
 }
 
+async fn read_change(body: Body) -> Result<ChangeRequest, HttpError> {
+    let read = tokio::time::timeout(CHANGE_LIMIT, Limited::new(body, BODY_MAX).collect());
+    let late = |_| HttpError::for_client_error(None, ClientErrorStatusCode::REQUEST_TIMEOUT, "body is late".to_owned());
+    let body = read.await.map_err(late)?.map_err(|e| {
+        if e.is::<http_body_util::LengthLimitError>() {
+            let why = format!("change is larger than {BODY_MAX} bytes");
+            HttpError::for_client_error(None, ClientErrorStatusCode::PAYLOAD_TOO_LARGE, why)
+        } else {
+            HttpError::for_bad_request(None, format!("body ended early: {e}"))
+        }
+    })?;
+    let bad = |e: serde_json::Error| HttpError::for_bad_request(None, format!("change can't be read: {e}"));
+    serde_json::from_slice(&body.to_bytes()).map_err(bad)
+}
+
+/// Checks a change against the state, so that a mistake doesn't reach the log.
+fn check_change(state: &State, change: &Change) -> Result<(), String> {
+    match change {
+        Change::Publish(tables) => check_published(tables),
+        Change::SetService { target, .. } => state.check_service_target(target).map_err(|e| e.to_string()),
+    }
+}
+
 /// Tells what became of a change whose answer was lost.
 #[endpoint { method = GET, path = "/v1/changes/{id}" }]
 async fn find_change(context: Context, path: Path<RecordPath>) -> Result<HttpResponseOk<Document>, HttpError> {
@@ -131,7 +190,9 @@
         in_flight: shared.in_flight(),
         folded: state.folded,
         tables_version: state.tables_version.offset,
+        tables_author: state.tables_version.author.clone(),
         service_version: state.service.version.offset,
+        service_author: state.service.version.author.clone(),
         out_of_service: state.service.out.iter().cloned().collect(),
         members: members
             .iter()
@@ -142,11 +203,13 @@
     }
 }
 
-fn list_ranges(state: &State) -> Vec<OwnedRange> {
-    let ranges = state
-        .ranges
-        .iter()
-        .flat_map(|(pool, table)| table.iter().map(move |info| (pool, info)));
+fn list_ranges(state: &State, filter: &RangeFilter) -> Vec<OwnedRange> {
+    let pool_fits = |name: &str| filter.pool.as_deref().is_none_or(|pool| pool == name);
+    let owner_fits = |name: &str| filter.upstream.as_deref().is_none_or(|upstream| upstream == name);
+    let pools = state.ranges.iter().filter(|(pool, _)| pool_fits(pool.as_str()));
+    let ranges = pools
+        .flat_map(|(pool, table)| table.iter().map(move |info| (pool, info)))
+        .filter(|(_, info)| owner_fits(info.owner.as_str()));
     let describe = |(pool, info): (&crate::types::PoolName, crate::fold::RangeInfo<'_>)| OwnedRange {
         pool: pool.to_string(),
         range: info.range.to_string(),
@@ -192,7 +255,7 @@
             author,
         },
         Proposal::Folded { outcome, .. } => ChangeResult::Refused {
-            why: format!("{outcome:?}"),
+            why: format!("the change contradicts the state: {outcome:?}"),
         },
         Proposal::Refused(why) => ChangeResult::Refused { why },
         Proposal::Unknown(why) => ChangeResult::Unknown { id, why },
@@ -208,6 +271,7 @@
     let mut api = ApiDescription::new();
     api.register(show_status).map_err(|e| e.to_string())?;
     api.register(show_ownership).map_err(|e| e.to_string())?;
+    api.register(show_capacity).map_err(|e| e.to_string())?;
     api.register(make_change).map_err(|e| e.to_string())?;
     api.register(find_change).map_err(|e| e.to_string())?;
     api.register(show_metrics).map_err(|e| e.to_string())?;
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Starts the real processes on loopback addresses for tests.
 
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,7 +13,7 @@
 
 /// Generous limit for events; tests wait for events and never for fixed times.
 const LIMIT: Duration = Duration::from_mins(1);
-const CREDENTIAL: &str = "test-operators";
+pub const CREDENTIAL: &str = "test-operators";
 
 /// A process that is killed at the end of the test.
 pub struct Process {
@@ -94,6 +96,7 @@
 pub struct Host {
     pub process: Process,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
     _folder: TempDir,
 }
 
@@ -126,6 +129,7 @@
     Host {
         process,
         operators: address("operators"),
+        peers: address("peers"),
         _folder: folder,
     }
 }
@@ -191,26 +195,32 @@
 
 /// Runs a command of the command line against a host and returns its exit code and JSON output.
 pub fn operate(host: &Host, arguments: &[&str]) -> (i32, Value) {
+    operate_at(&[host.operators], arguments)
+}
+
+/// Runs a command of the command line against several addresses.
+pub fn operate_at(addresses: &[SocketAddr], arguments: &[&str]) -> (i32, Value) {
     let folder = TempDir::new().unwrap();
     let credential = folder.path().join("credential");
     std::fs::write(&credential, CREDENTIAL).unwrap();
-    let access = [
-        "--json",
-        "--address",
-        &host.operators.to_string(),
-        "--credential",
-        credential.to_str().unwrap(),
-    ]
-    .map(str::to_owned);
+    let access = ["--json", "--credential", credential.to_str().unwrap()];
+    let addresses = addresses.iter().map(|address| format!("--address={address}"));
     let output = Command::new(binary("ragworthub"))
         .args(arguments)
         .args(access)
+        .args(addresses)
         .output()
         .unwrap();
     let json = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
     (output.status.code().unwrap(), json)
 }
 
+/// Writes the content of a table as the file has it, under the table's name.
+pub fn table(name: &str, content: &str) -> String {
+    let lines = content.lines().map(|line| format!("  {line}\n"));
+    format!("{name}:\n{}", lines.collect::<String>())
+}
+
 /// Publishes tables and waits until a host has them in force.
 pub fn publish(hosts: &[Host], routes: &str, pools: &str) {
     let folder = TempDir::new().unwrap();
@@ -219,7 +229,10 @@
         std::fs::write(&path, text).unwrap();
         path.to_str().unwrap().to_owned()
     };
-    let (routes, pools) = (write("routes.yaml", routes), write("pools.yaml", pools));
+    let (routes, pools) = (
+        write("routes.yaml", &table("routes", routes)),
+        write("pools.yaml", &table("pools", pools)),
+    );
     let (code, result) = operate(&hosts[0], &["publish", "--routes", &routes, "--pools", &pools]);
     assert_eq!((code, &result["result"]), (0, &Value::from("applied")), "{result}");
     for host in hosts {
