Describe commands, settings, tables, metrics and refusals for operators

Cause: a refusal reason, a setting or an exit code could be looked up in the source only, and the users' words stood beside the terms of the code. Ruled out: metric names from the rendered text (a family without a value is not rendered), so the test reads them from the source of the registry. Change: `docs/operators.md`, `docs/glossary.md`, a README with a real answer. Tests fail if a reason or its status, a setting or its default, a field of the tables, a metric, a command or an option is missing on the page.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -29,7 +29,7 @@
 /// can't carry the load and nothing changed.
 #[derive(Debug, Parser)]
 #[command(version)]
-struct Arguments {
+pub(super) struct Arguments {
     #[command(subcommand)]
     command: Command,
     /// Write results as JSON
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,5 +9,8 @@
 mod output;
 mod server;
 
+#[cfg(test)]
+mod tests;
+
 pub use command::run_command;
 pub(crate) use server::start_operators;
