--- a/src/control/output.rs
+++ b/src/control/output.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::messages::{ChangeResult, OwnedRange, Status};
+use crate::records::ServiceTarget;
 use crate::tables::CapacityReport;
 use crate::types::{Fault, RecordId};
 
@@ -204,7 +205,7 @@
     say!("  tables version {tables}{}", by(&status.tables_author));
     say!("  service version {service}{}", by(&status.service_author));
     for target in &status.out_of_service {
-        say!("  out of service: {target:?}");
+        say!("  out of service: {}", describe_target(target));
     }
     let (ready, draining, in_flight) = (status.ready, status.draining, status.in_flight);
     say!("  ready {ready}, draining {draining}, requests in flight {in_flight}");
@@ -217,6 +218,13 @@
     }
 }
 
+fn describe_target(target: &ServiceTarget) -> String {
+    match target {
+        ServiceTarget::Zone(zone) => format!("availability zone {zone}"),
+        ServiceTarget::Host(host) => format!("host {host}"),
+    }
+}
+
 fn by(author: &str) -> String {
     if author.is_empty() {
         String::new()
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::refusal::Refusal;
-use crate::host::Shared;
+use crate::host::{InFlight, Shared};
 use crate::tables::{Pool, Route, Tables, find_caller, find_key, match_route};
 use crate::types::{Caller, KeyHash, PoolName, Reason, RequestId, RouteName};
 
@@ -20,6 +20,8 @@
     pub(super) idempotent: bool,
     pub(super) started: Instant,
     pub(super) deadline: Instant,
+    /// Counts the request once, until its answer has ended.
+    pub(super) request: Arc<InFlight>,
     tables: Arc<Tables>,
     route: usize,
 }
@@ -55,11 +57,13 @@
 /// # Errors
 ///
 /// Gives the refusal if this host may not serve, or no route admits the request. It has not run.
-pub(super) fn admit_request(shared: &Shared, id: RequestId, parts: &Parts) -> Result<Call, NotAdmitted> {
+pub(super) fn admit_request(shared: &Arc<Shared>, id: RequestId, parts: &Parts) -> Result<Call, NotAdmitted> {
     let refuse = |reason| NotAdmitted {
         route: None,
         refusal: Refusal::not_run(reason),
     };
+    // Counted before the check, so that a planned stop that begins in between waits for it.
+    let request = Arc::new(shared.enter_request());
     if shared.is_draining() {
         return Err(refuse(Reason::Draining));
     }
@@ -94,6 +98,7 @@
         idempotent,
         started,
         deadline,
+        request,
         tables: Arc::clone(&tables),
         route: index,
     })
--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -26,7 +26,7 @@
     started: Instant,
     held: Option<Held>,
     aborted: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
-    _request: InFlight,
+    _request: Arc<InFlight>,
 }
 
 /// What is given back as soon as the upstream is done.
@@ -50,7 +50,7 @@
             started: Instant::now(),
             held: Some(Held { slot, run, pass }),
             aborted: token.map(|token| Box::pin(token.cancelled_owned())),
-            _request: shared.enter_request(),
+            _request: Arc::clone(&call.request),
         }
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -58,7 +58,6 @@
 }
 
 async fn run_call(shared: &Arc<Shared>, call: &Call, parts: Parts, body: Body) -> Result<Response<Body>, Refusal> {
-    let _request = shared.enter_request();
     shared.policies.count_request(call.pool_name(), call.started);
     let limit = call.route().body_max.0;
     let body = match timeout_at(call.deadline, read_body(body, limit)).await {
--- a/standins/tests/doors.rs
+++ b/standins/tests/doors.rs
@@ -479,6 +479,19 @@
     assert_eq!(slow.join().unwrap().expect("a whole answer").status, 200);
 }
 
+/// Guards against a request that is counted twice in the status and in the wait of a planned stop.
+#[test]
+fn status_counts_each_request_once() {
+    let deployment = start_deployment();
+    let address = deployment.callers();
+    let in_flight = || operate(&deployment.host, &["status"]).1["in_flight"].clone();
+    let slow = std::thread::spawn(move || get(address, "/largo/1?sleep_ms=2000"));
+    wait_for("the request to run", || (deployment.ran() == 1).then_some(()));
+    assert_eq!(in_flight(), 1);
+    assert_eq!(slow.join().unwrap().expect("a whole answer").status, 200);
+    wait_for("the end of the request", || (in_flight() == 0).then_some(()));
+}
+
 /// Passes one call on to a host and drops the answer.
 fn lose_one_answer(host: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
