Test an idempotency key that is too long at the callers' door

Ruled out: a test of the register alone, which doesn't see the refusal's verdict. Change: one more case in the test of refusals that say not run. Conclusion: a key of 256 bytes is refused with `bad-header` and does not run.

--- a/standins/tests/doors.rs
+++ b/standins/tests/doors.rs
@@ -162,6 +162,8 @@
     let caller = [("ragworthub-caller", "ventanilla")];
     let long_key = format!("/placas/{}", "x".repeat(513));
     let long_body = "x".repeat(1001);
+    let long_name = "x".repeat(256);
+    let long_idempotency_key = [caller[0], ("idempotency-key", long_name.as_str())];
     let cases = [
         ("GET", "/nowhere", &caller[..], "", 404, "no-route"),
         ("GET", "/placas/", &caller, "", 400, "key-missing"),
@@ -184,6 +186,7 @@
             "caller-not-admitted",
         ),
         ("POST", "/padrones/1", &caller, &long_body, 413, "body-too-large"),
+        ("POST", "/padrones/1", &long_idempotency_key, "", 400, "bad-header"),
     ];
     for (method, path, headers, body, status, reason) in cases {
         let answer = send(method, deployment.callers(), path, headers, body).expect("a whole answer");
