--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -30,7 +30,7 @@
     held: Option<Held>,
     counted: Option<Counted>,
     aborted: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
-    _request: InFlight,
+    _request: Arc<InFlight>,
 }
 
 /// What is given back as soon as the upstream is done.
@@ -56,7 +56,7 @@
             held: Some(Held { slot, run, pass }),
             counted: None,
             aborted: token.map(|token| Box::pin(token.cancelled_owned())),
-            _request: shared.enter_request(),
+            _request: Arc::clone(&call.request),
         }
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -60,7 +60,6 @@
 }
 
 async fn run_call(shared: &Arc<Shared>, call: &Call, parts: Parts, body: Body) -> Result<Response<Body>, Refusal> {
-    let _request = shared.enter_request();
     shared.policies.count_request(call.pool_name(), call.started);
     let mut counted = Some(Counted::admit(shared, call));
     let result = run_counted(shared, call, parts, body, &mut counted).await;
