Show counts, reform a lost membership, bound requests of a host

Cause: no command showed the counts that partners compare; a membership whose hosts were all lost could not begin again; limits.requests was read and never used; a credential with a line break passed the check and stopped the host with a panic. Ruled out: a membership that reforms by itself, because hosts that are only cut off would go on by the old one.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -7,6 +7,8 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use futures::future::join_all;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use super::change::{ask_capacity, find_change, submit_change};
@@ -14,13 +16,14 @@
 use super::files::{read_file, read_settings, read_tables};
 use super::messages::{Change, ChangeRequest, OwnedRange};
 use super::output::{
-    ChangeReport, Ending, Failure, HostReport, print, print_capacity, print_hosts, print_range, print_report,
-    print_valid,
+    ChangeReport, Ending, Failure, HostReport, print, print_capacity, print_counts, print_hosts, print_range,
+    print_report, print_valid,
 };
+use crate::counts::Period;
 use crate::host::run_host;
 use crate::records::ServiceTarget;
 use crate::tables::CapacityReport;
-use crate::types::{BadName, Offset, PoolName, RecordId, UpstreamName};
+use crate::types::{BadName, Caller, Offset, PoolName, RecordId, UpstreamName};
 
 /// Router for servers that own keys exclusively
 ///
@@ -85,6 +88,29 @@
         #[command(flatten)]
         access: Access,
     },
+    /// Shows the counts of a month
+    Counts {
+        /// Month, such as 2026-12
+        period: Period,
+        /// Only counts of this caller
+        #[arg(long)]
+        caller: Option<Caller>,
+        #[command(flatten)]
+        access: Access,
+    },
+    /// Makes a host the only member, after all others were lost
+    ///
+    /// Other hosts that still run would go on by the old membership: stop them first. Idempotency
+    /// keys that were claimed before are forgotten.
+    Reform {
+        /// Confirms that no other host runs
+        #[arg(long, required = true)]
+        force: bool,
+        #[command(flatten)]
+        change: ChangeOptions,
+        #[command(flatten)]
+        access: Access,
+    },
     /// Lists key ranges with their owners
     Ownership {
         /// Only ranges of this pool
@@ -225,10 +251,27 @@
             };
             Ok(finish_change(json, &report))
         }
+        Command::Counts { period, caller, access } => {
+            let caller = caller.map(|name| format!("&caller={name}")).unwrap_or_default();
+            let path = format!("/v1/counts?period={period}{caller}");
+            show_document(&access.clients()?, &path, json, print_counts).await
+        }
+        Command::Reform { change, access, .. } => {
+            let hosts = access.clients()?;
+            let [host] = hosts.as_slice() else {
+                return Err(Failure::Failed("reform takes the address of one host".to_owned()));
+            };
+            let request = change.build_request(Change::Reform);
+            let report = submit_change(std::slice::from_ref(host), &request).await?;
+            Ok(finish_change(json, &report))
+        }
         Command::Status { access } => show_status(&access.clients()?, json).await,
         Command::Ownership { pool, upstream, access } => {
             let path = build_filter(pool.as_ref(), upstream.as_ref());
-            show_ownership(&access.clients()?, &path, json).await
+            show_document(&access.clients()?, &path, json, |ranges: &Vec<OwnedRange>| {
+                ranges.iter().for_each(print_range);
+            })
+            .await
         }
     }
 }
@@ -306,13 +349,18 @@
     format!("/v1/ownership?{}", filters.join("&"))
 }
 
-/// Lists the ranges as the first host that answers knows them.
-async fn show_ownership(hosts: &[HostClient], path: &str, json: bool) -> Result<Ending, Failure> {
+/// Shows a document as the first host that answers knows it.
+async fn show_document<T: DeserializeOwned + Serialize>(
+    hosts: &[HostClient],
+    path: &str,
+    json: bool,
+    print_text: impl Fn(&T),
+) -> Result<Ending, Failure> {
     let mut failures = Vec::new();
     for host in hosts {
-        match host.get::<Vec<OwnedRange>>(path).await {
-            Ok(ranges) => {
-                print(json, &ranges, |ranges| ranges.iter().for_each(print_range));
+        match host.get::<T>(path).await {
+            Ok(document) => {
+                print(json, &document, print_text);
                 return Ok(Ending::Done);
             }
             Err(error) => failures.push(error.to_string()),
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -24,6 +24,8 @@
     pub(crate) enum Change {
         Publish(Box<Tables>),
         SetService { target: ServiceTarget, in_service: bool },
+        /// Makes the addressed host the only member.
+        Reform,
     }
 
     /// What became of a change.
--- a/src/control/output.rs
+++ b/src/control/output.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::messages::{ChangeResult, OwnedRange, Status};
+use crate::counts::Report;
 use crate::records::ServiceTarget;
 use crate::tables::CapacityReport;
 use crate::types::{Fault, RecordId};
@@ -244,3 +245,33 @@
     } = range;
     say!("{pool} {range} {owner} epoch {epoch}{frozen}");
 }
+
+pub(super) fn print_counts(report: &Report) {
+    let state = if report.closed { "closed" } else { "open" };
+    say!("period {} ({state})", report.period);
+    say!("caller route admitted not-run ran may-have-run answered unconfirmed exposed");
+    for row in &report.rows {
+        let c = &row.counters;
+        say!(
+            "{} {} {} {} {} {} {} {} {}",
+            row.caller,
+            row.route,
+            c.admitted,
+            c.not_run,
+            c.ran,
+            c.may_have_run,
+            c.answered,
+            c.unconfirmed,
+            c.exposed
+        );
+    }
+    for uncertain in &report.uncertain {
+        let run = &uncertain.instance;
+        say!(
+            "uncertain: host {} run {}: {:?}",
+            run.host,
+            run.incarnation,
+            uncertain.why
+        );
+    }
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -46,6 +46,14 @@
     id: String,
 }
 
+/// Which counts to show.
+#[derive(Deserialize, JsonSchema)]
+struct CountsQuery {
+    /// Month, such as 2026-12.
+    period: String,
+    caller: Option<String>,
+}
+
 /// Which ranges to list; without a filter, all.
 #[derive(Deserialize, JsonSchema)]
 struct RangeFilter {
@@ -114,6 +122,20 @@
     answer(&check_capacity(&state.tables, &state.service, &target, &in_use))
 }
 
+/// Shows the counts of a period, as far as the log holds them.
+#[endpoint { method = GET, path = "/v1/counts" }]
+async fn show_counts(context: Context, query: Query<CountsQuery>) -> Result<HttpResponseOk<Document>, HttpError> {
+    check_credential(&context)?;
+    let CountsQuery { period, caller } = query.into_inner();
+    let bad = |e: String| HttpError::for_bad_request(None, e);
+    let period = period
+        .parse()
+        .map_err(|e: crate::types::BadNumber| bad(e.to_string()))?;
+    let caller = caller.map(|name| name.parse()).transpose();
+    let caller = caller.map_err(|e: crate::types::BadName| bad(e.to_string()))?;
+    answer(&context.context().shared.counting.report(period, caller.as_ref()))
+}
+
 /// Makes a change and tells what became of it.
 #[endpoint { method = POST, path = "/v1/changes", request_body_max_bytes = BODY_MAX }]
 async fn make_change(context: Context, request: RawRequest) -> Result<HttpResponseOk<Document>, HttpError> {
@@ -124,7 +146,7 @@
     if let Err(why) = check_change(&shared.state(), &request.change) {
         return answer(&ChangeResult::Refused { why });
     }
-    let envelope = build_record(&shared.state(), request);
+    let envelope = build_record(shared, request);
     let proposal = propose(shared, platform, &envelope, CHANGE_LIMIT).await;
     let result = explain(envelope.id, proposal);
     info!(shared.log, "change"; "author" => envelope.author, "id" => envelope.id.to_string(), "result" => ?result);
@@ -150,6 +172,7 @@
 fn check_change(state: &State, change: &Change) -> Result<(), String> {
     match change {
         Change::Publish(tables) => check_published(tables),
+        Change::Reform => Ok(()),
         Change::SetService { target, .. } => state.check_service_target(target).map_err(|e| e.to_string()),
     }
 }
@@ -220,7 +243,8 @@
     ranges.map(describe).collect()
 }
 
-fn build_record(state: &State, request: ChangeRequest) -> Envelope {
+fn build_record(shared: &Shared, request: ChangeRequest) -> Envelope {
+    let state = shared.state();
     let ChangeRequest {
         id,
         author,
@@ -232,6 +256,13 @@
             base: base.unwrap_or(state.tables_version.offset),
             tables: *tables,
         },
+        Change::Reform => Record::Reform {
+            base: base.unwrap_or(state.membership.version.offset),
+            host: shared.me.host.clone(),
+            incarnation: shared.me.incarnation,
+            zone: shared.settings.zone.clone(),
+            address: shared.peer_address,
+        },
         Change::SetService { target, in_service } => Record::SetService {
             base: base.unwrap_or(state.service.version.offset),
             target,
@@ -271,6 +302,7 @@
     let mut api = ApiDescription::new();
     api.register(show_status).map_err(|e| e.to_string())?;
     api.register(show_ownership).map_err(|e| e.to_string())?;
+    api.register(show_counts).map_err(|e| e.to_string())?;
     api.register(show_capacity).map_err(|e| e.to_string())?;
     api.register(make_change).map_err(|e| e.to_string())?;
     api.register(find_change).map_err(|e| e.to_string())?;
--- a/src/counts/fold.rs
+++ b/src/counts/fold.rs
@@ -100,29 +100,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct IncompleteSnapshot;
 
-/// An instance whose counts may differ from those of its callers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Uncertain {
-    pub(crate) instance: Instance,
-    pub(crate) why: Why,
-}
+value! {
+    /// An instance whose counts may differ from those of its callers.
+    #[derive(Eq)]
+    pub(crate) struct Uncertain {
+        pub(crate) instance: Instance,
+        pub(crate) why: Why,
+    }
 
-/// Counts of one caller and route.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ReportRow {
-    pub(crate) caller: Caller,
-    pub(crate) route: RouteName,
-    pub(crate) counters: Counters,
-}
+    /// Counts of one caller and route.
+    #[derive(Eq)]
+    pub(crate) struct ReportRow {
+        pub(crate) caller: Caller,
+        pub(crate) route: RouteName,
+        pub(crate) counters: Counters,
+    }
 
-/// Counts of a period.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Report {
-    pub(crate) period: Period,
-    /// The counts no longer change.
-    pub(crate) closed: bool,
-    pub(crate) rows: Vec<ReportRow>,
-    pub(crate) uncertain: Vec<Uncertain>,
+    /// Counts of a period.
+    #[derive(Eq)]
+    pub(crate) struct Report {
+        pub(crate) period: Period,
+        /// The counts no longer change.
+        pub(crate) closed: bool,
+        pub(crate) rows: Vec<ReportRow>,
+        pub(crate) uncertain: Vec<Uncertain>,
+    }
 }
 
 /// All that the counts stream says.
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -72,6 +72,9 @@
     if shared.is_draining() {
         return Err(refuse(Reason::Draining));
     }
+    if shared.in_flight() > shared.settings.limits.requests {
+        return Err(refuse(Reason::QueueFull));
+    }
     let tables = Arc::clone(&shared.state().tables);
     if tables.routes.is_empty() {
         return Err(refuse(Reason::NotReady));
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) me: Instance,
+    /// Where peers reach this host.
+    pub(crate) peer_address: SocketAddr,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) connector: Connector,
@@ -79,6 +81,7 @@
             tail: Tail::default(),
             settings,
             me,
+            peer_address: peers,
             log,
             state: RwLock::default(),
             outcomes: Mutex::default(),
--- a/src/settings/reading.rs
+++ b/src/settings/reading.rs
@@ -121,14 +121,22 @@
 fn read_secret(d: &mut Document<'_>, fields: &Fields<'_>, name: &str) -> Option<Secret> {
     let node = fields.need(d, name)?;
     match &node.value {
-        Value::Scalar(serde_json::Value::String(text)) if !text.trim().is_empty() => Some(Secret(text.clone())),
+        // A secret travels in a header, which takes no other characters.
+        Value::Scalar(serde_json::Value::String(text)) if is_visible(text) => Some(Secret(text.clone())),
         _ => {
-            d.refuse(node, "expected a secret as text that is not empty (quote a number)");
+            d.refuse(
+                node,
+                "expected a secret as text of visible ASCII that is not empty (quote a number)",
+            );
             None
         }
     }
 }
 
+fn is_visible(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn read_timing(d: &mut Document<'_>, node: &Node) -> Timing {
     let names = [
         "routing_lease",
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -47,8 +47,8 @@
     host.yaml:8:3: unknown field spare, expected one of callers, peers, operators
     host.yaml:10:8: expected an address with a port other than 0
     host.yaml:11:22: expected at least 100 records
-    host.yaml:13:10: expected a secret as text that is not empty (quote a number)
-    host.yaml:14:14: expected a secret as text that is not empty (quote a number)
+    host.yaml:13:10: expected a secret as text of visible ASCII that is not empty (quote a number)
+    host.yaml:14:14: expected a secret as text of visible ASCII that is not empty (quote a number)
     host.yaml:17:14: heartbeat 200ms must be below a third of routing_lease 600ms
     host.yaml:19:12: renewal 1s must be below a third of grant 3s
     host.yaml:20:14: detection 300ms must be above twice the heartbeat 200ms
@@ -83,3 +83,12 @@
         assert!(!faults(text).contains("hunter2"), "{text}");
     }
 }
+
+/// Guards against a credential that passes the check and can't be sent as a header.
+#[test]
+fn secrets_are_visible_ascii() {
+    let text = "host: a\nzone: a\nlisten: { callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3' }\n\
+                platform: { log: '127.0.0.1:4' }\ncredentials: { peers: \"a\\nb\", operators: ok }\n";
+    let faults = super::parse_settings("host.yaml", text).unwrap_err();
+    assert_eq!(faults.len(), 1, "{faults:?}");
+}
