Keep the ranges of a table in buckets by hash

Cause: a lookup among 440,000 ranges walked a BTreeMap six nodes deep and missed the cache in most of them.

Ruled out: one sorted vector with a prefix index, which moves up to 14 MB on each split; sorted vectors per bucket, which are linear if hashes bunch; smaller entries, which save memory but no node visits.

Change: the top bits of the hash choose one of a power of two of ordered maps with at most eight ranges on average. The number doubles as the table grows. RangeTable::frozen lists frozen ranges without a scan of the table.

--- a/src/fold/ranges.rs
+++ b/src/fold/ranges.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RangeTable {
     owners: Owners,
-    ranges: BTreeMap<KeyHash, RangeEntry>,
+    ranges: Buckets,
     /// Offsets of the records that stopped frozen ranges, by first hash. Few ranges are frozen at
     /// once, and 8 bytes less in each of 440,000 entries keep the table within 32 MB.
     stops: BTreeMap<KeyHash, Offset>,
@@ -30,6 +30,105 @@
     frozen: bool,
 }
 
+/// Ranges of each bucket when the number of buckets doubles; up to 11 entries fit one node of a map.
+const FILL_MAX: usize = 8;
+
+/// Binary logarithm of the number of buckets of an empty table.
+const START_BITS: u32 = 4;
+
+/// Entries by first hash, in ordered maps by the top bits of that hash.
+///
+/// One map of 440,000 entries is six nodes deep, and a lookup waits for a cache miss in most of
+/// them. Here the top bits lead to a map that usually is a single node. Hashes of keys spread
+/// evenly, so buckets are of about one size; a lookup that finds only empty buckets below its own
+/// goes through them one by one.
+#[derive(Clone, Debug)]
+struct Buckets {
+    /// A power of two of maps, in order.
+    maps: Vec<BTreeMap<KeyHash, RangeEntry>>,
+    /// Bits of a hash below those that choose the bucket.
+    shift: u32,
+    len: usize,
+}
+
+impl Default for Buckets {
+    fn default() -> Self {
+        Self {
+            maps: vec![BTreeMap::new(); 1 << START_BITS],
+            shift: u64::BITS - START_BITS,
+            len: 0,
+        }
+    }
+}
+
+impl Buckets {
+    fn index(&self, hash: KeyHash) -> usize {
+        usize::try_from(hash.0 >> self.shift).expect("no more buckets than a Vec holds")
+    }
+
+    /// Finds the last entry that starts at a hash or before it.
+    fn find_last(&self, hash: KeyHash) -> Option<(KeyHash, &RangeEntry)> {
+        let index = self.index(hash);
+        let within = self.maps[index].range(..=hash).next_back();
+        let below = || self.maps[..index].iter().rev().find_map(BTreeMap::last_key_value);
+        within.or_else(below).map(|(&first, entry)| (first, entry))
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (KeyHash, &RangeEntry)> {
+        self.maps.iter().flatten().map(|(&first, entry)| (first, entry))
+    }
+
+    fn iter_mut(&mut self) -> impl Iterator<Item = (KeyHash, &mut RangeEntry)> {
+        self.maps.iter_mut().flatten().map(|(&first, entry)| (first, entry))
+    }
+
+    /// Iterates over the entries that start within a range.
+    fn starts_within(&self, range: KeyRange) -> impl Iterator<Item = (KeyHash, &RangeEntry)> {
+        let maps = &self.maps[self.index(range.first)..=self.index(range.last)];
+        let entries = maps.iter().flat_map(move |map| map.range(range.first..=range.last));
+        entries.map(|(&first, entry)| (first, entry))
+    }
+
+    fn starts_within_mut(&mut self, range: KeyRange) -> impl Iterator<Item = (KeyHash, &mut RangeEntry)> {
+        let (start, end) = (self.index(range.first), self.index(range.last));
+        let maps = self.maps[start..=end].iter_mut();
+        let entries = maps.flat_map(move |map| map.range_mut(range.first..=range.last));
+        entries.map(|(&first, entry)| (first, entry))
+    }
+
+    fn get_mut(&mut self, first: KeyHash) -> Option<&mut RangeEntry> {
+        let index = self.index(first);
+        self.maps[index].get_mut(&first)
+    }
+
+    fn insert(&mut self, first: KeyHash, entry: RangeEntry) {
+        let index = self.index(first);
+        let replaced = self.maps[index].insert(first, entry);
+        self.len += usize::from(replaced.is_none());
+        if self.len > FILL_MAX * self.maps.len() {
+            self.double();
+        }
+    }
+
+    fn remove(&mut self, first: KeyHash) -> Option<RangeEntry> {
+        let index = self.index(first);
+        let removed = self.maps[index].remove(&first);
+        self.len -= usize::from(removed.is_some());
+        removed
+    }
+
+    /// Divides each bucket into two.
+    fn double(&mut self) {
+        self.shift -= 1;
+        let maps = std::mem::take(&mut self.maps);
+        self.maps.reserve_exact(2 * maps.len());
+        for (odd, mut lower) in (0..).map(|i: u64| 2 * i + 1).zip(maps) {
+            let upper = lower.split_off(&KeyHash(odd << self.shift));
+            self.maps.extend([lower, upper]);
+        }
+    }
+}
+
 /// A range as readers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RangeInfo<'a> {
@@ -59,32 +158,32 @@
 impl RangeTable {
     /// Finds the range that holds a hash.
     pub(crate) fn find_range(&self, hash: KeyHash) -> Option<RangeInfo<'_>> {
-        let (&first, entry) = self.ranges.range(..=hash).next_back()?;
+        let (first, entry) = self.ranges.find_last(hash)?;
         (hash <= entry.last).then(|| self.describe(first, entry))
     }
 
     /// Iterates over all ranges in order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = RangeInfo<'_>> {
-        self.ranges.iter().map(|(&first, entry)| self.describe(first, entry))
+        self.ranges.iter().map(|(first, entry)| self.describe(first, entry))
     }
 
     /// Iterates over the ranges that share a hash with a range.
     pub(crate) fn overlapping(&self, range: KeyRange) -> impl Iterator<Item = RangeInfo<'_>> {
-        let start = self
-            .ranges
-            .range(..=range.first)
-            .next_back()
-            .map_or(range.first, |(&first, _)| first);
-        let entries = self
-            .ranges
-            .range(start..=range.last)
-            .filter(move |(_, entry)| entry.last >= range.first);
-        entries.map(|(&first, entry)| self.describe(first, entry))
+        let before = self.ranges.find_last(range.first);
+        let first = before.map_or(range.first, |(first, _)| first);
+        let entries = self.ranges.starts_within(KeyRange { first, ..range });
+        let entries = entries.filter(move |(_, entry)| entry.last >= range.first);
+        entries.map(|(first, entry)| self.describe(first, entry))
+    }
+
+    /// Iterates over the frozen ranges in order, at a cost that grows only with their number.
+    pub(crate) fn frozen(&self) -> impl Iterator<Item = RangeInfo<'_>> {
+        self.stops.keys().filter_map(|&first| self.find_range(first))
     }
 
     /// Number of ranges.
     pub(crate) fn len(&self) -> usize {
-        self.ranges.len()
+        self.ranges.len
     }
 
     /// Stops ranges; a range that is a part of an entry splits it.
@@ -114,7 +213,7 @@
             if range.last < KeyHash::MAX {
                 self.split_at(KeyHash(range.last.0 + 1));
             }
-            for (&first, entry) in self.ranges.range_mut(range.first..=range.last) {
+            for (first, entry) in self.ranges.starts_within_mut(range) {
                 entry.frozen = true;
                 self.stops.insert(first, offset);
             }
@@ -124,7 +223,7 @@
 
     /// Stops all ranges that are served.
     pub(crate) fn freeze_all(&mut self, offset: Offset) {
-        for (&first, entry) in self.ranges.iter_mut().filter(|(_, entry)| !entry.frozen) {
+        for (first, entry) in self.ranges.iter_mut().filter(|(_, entry)| !entry.frozen) {
             entry.frozen = true;
             self.stops.insert(first, offset);
         }
@@ -141,13 +240,9 @@
             self.check_assignable(item)?;
         }
         for item in ranges {
-            let inside: Vec<KeyHash> = self
-                .ranges
-                .range(item.range.first..=item.range.last)
-                .map(|(&k, _)| k)
-                .collect();
+            let inside: Vec<KeyHash> = self.ranges.starts_within(item.range).map(|(k, _)| k).collect();
             for first in inside {
-                if let Some(entry) = self.ranges.remove(&first) {
+                if let Some(entry) = self.ranges.remove(first) {
                     self.owners.release(entry.owner);
                 }
                 self.stops.remove(&first);
@@ -187,17 +282,20 @@
 
     fn overlaps_any(&self, range: KeyRange) -> bool {
         self.ranges
-            .range(..=range.last)
-            .next_back()
+            .find_last(range.last)
             .is_some_and(|(_, entry)| entry.last >= range.first)
     }
 
     /// Entries that together cover a range without a gap.
     fn covering(&self, range: KeyRange) -> Option<Vec<(KeyHash, RangeEntry)>> {
-        let (&start, _) = self.ranges.range(..=range.first).next_back()?;
+        let (start, _) = self.ranges.find_last(range.first)?;
+        let within = KeyRange {
+            first: start,
+            last: range.last,
+        };
         let mut parts = Vec::new();
         let mut next = Some(range.first);
-        for (&first, &entry) in self.ranges.range(start..=range.last) {
+        for (first, &entry) in self.ranges.starts_within(within) {
             let wanted = next?;
             if first > wanted || entry.last < wanted {
                 return None;
@@ -210,14 +308,15 @@
     }
 
     fn split_at(&mut self, hash: KeyHash) {
-        let Some((&first, entry)) = self.ranges.range_mut(..hash).next_back() else {
+        let Some((first, &tail)) = self.ranges.find_last(hash) else {
             return;
         };
-        if entry.last < hash || first == hash {
+        if tail.last < hash || first == hash {
             return;
         }
-        let tail = *entry;
-        entry.last = KeyHash(hash.0 - 1);
+        if let Some(entry) = self.ranges.get_mut(first) {
+            entry.last = KeyHash(hash.0 - 1);
+        }
         if let Some(offset) = self.stop(first, &tail) {
             self.stops.insert(hash, offset);
         }
--- a/src/fold/tests.rs
+++ b/src/fold/tests.rs
@@ -518,3 +518,57 @@
     assert!(!state.snapshot_due(2 * whole.len() as u64 + 2));
     assert_eq!(reader.through(), None);
 }
+
+/// Guards against ranges that are lost or found twice when a table's buckets are divided.
+#[test]
+fn divided_buckets_keep_all_ranges() {
+    let mut table = RangeTable::default();
+    let mut model = std::collections::BTreeMap::new();
+    let owner: crate::types::UpstreamName = "server".parse().unwrap();
+    for range in KeyRange::divide_all(3_001).into_iter().step_by(2) {
+        let item = RangeOwner {
+            range,
+            frozen: Offset(0),
+            owner: owner.clone(),
+        };
+        table.assign_ranges(Offset(1), &[item]).unwrap();
+        model.insert(range.first, range.last);
+    }
+    // Parts of ranges are frozen, which splits them.
+    let parts: Vec<KeyRange> = model
+        .iter()
+        .step_by(7)
+        .map(|(&first, &last)| KeyRange {
+            first,
+            last: KeyHash(last.0 - 5),
+        })
+        .collect();
+    table.freeze_ranges(Offset(2), Offset(1), &parts).unwrap();
+    for part in &parts {
+        let last = model.insert(part.first, part.last).unwrap();
+        model.insert(KeyHash(part.last.0 + 1), last);
+    }
+    let found: Vec<_> = table.iter().map(|info| (info.range.first, info.range.last)).collect();
+    assert_eq!(found, model.clone().into_iter().collect::<Vec<_>>());
+    assert_eq!(table.len(), model.len());
+    let frozen: Vec<KeyRange> = table.frozen().map(|info| info.range).collect();
+    assert_eq!(frozen, parts);
+    for hash in (0..10_000).map(|i| KeyHash::of(&u64::to_le_bytes(i))) {
+        let expected = model.range(..=hash).next_back().filter(|&(_, &last)| hash <= last);
+        let info = table.find_range(hash).map(|info| info.range);
+        assert_eq!(
+            info.map(|r| (r.first, r.last)),
+            expected.map(|(&first, &last)| (first, last))
+        );
+    }
+    let around = KeyRange {
+        first: parts[3].last,
+        last: parts[9].first,
+    };
+    let overlapping: Vec<KeyRange> = table.overlapping(around).map(|info| info.range).collect();
+    let expected = model
+        .iter()
+        .map(|(&first, &last)| KeyRange { first, last })
+        .filter(|r| r.overlaps(around));
+    assert_eq!(overlapping, expected.collect::<Vec<_>>());
+}
