--- a/src/measure/slopes.rs
+++ b/src/measure/slopes.rs
@@ -490,6 +490,7 @@
         address: ([10, 0, 0, 1], 80).into(),
     };
     Membership {
+        founder: None,
         version: Version {
             offset: Offset(1),
             author: String::new(),
@@ -900,6 +901,7 @@
     let pool: PoolName = "pool".parse().expect("a valid name");
     let beat = Heartbeat {
         report: Report {
+            register_votes: true,
             sender: instance(0),
             folded: Offset(1_000_000),
             leads: None,
