Test promises under faults with real processes; fix what they found

The stopping host now waits until others are home of its upstreams. - The sample of an answer without content was lost, since its slot went back before the head was noted (found by reading, no test yet).

Ruled out as faults: the test's relay hides refused connections, so it stands only where a test asks for it; connections below 1 s of age count as proved; SIGSTOP takes effect late on a busy machine, so the support waits until all threads are stopped.

--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -60,14 +60,19 @@
         self.shared.flights.find(pass.id)
     }
 
-    /// Notes the head of an answer.
-    pub(super) fn note_head(&mut self, outcome: Outcome, incarnation: Option<Incarnation>) {
-        self.note_outcome(outcome, incarnation);
+    /// Notes the head of an answer to a request that has run.
+    pub(super) fn note_head(&mut self, incarnation: Option<Incarnation>) {
+        self.note_outcome(Outcome::Answered, incarnation);
         if let Some(held) = &mut self.held {
             held.run.set_end(RunEnd::Completed);
         }
     }
 
+    /// Notes that the upstream refused the request, which proves nothing about a suspect.
+    pub(super) fn note_refusal(&mut self, outcome: Outcome, incarnation: Option<Incarnation>) {
+        self.note_outcome(outcome, incarnation);
+    }
+
     /// Notes that the attempt ended without an answer.
     pub(super) fn note_failure(&mut self, outcome: Outcome, end: RunEnd) {
         self.note_outcome(outcome, None);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -18,9 +18,11 @@
 use crate::admission::{Demand, Outcome};
 use crate::choice::{Failure as RetryQuestion, Fingerprint, RunEnd};
 use crate::exchange::{AnswerBody, ConnectLimits, Failure, ForwardBody, Target, run_attempt};
-use crate::host::{Shared, Slot, WatchedRun, acquire_alone, acquire_slot, note_restart};
+use crate::host::{
+    CallEnd, Shared, Slot, WatchedRun, acquire_alone, acquire_slot, note_restart, tell_incarnation, wait_for_standing,
+};
 use crate::ownership::{Denied, Pass};
-use crate::types::{Incarnation, Reason, UpstreamName, Verdict};
+use crate::types::{Caller, Incarnation, Reason, UpstreamName, Verdict};
 
 /// Longest wait for a new connection; one takes about 1 ms.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -104,6 +106,10 @@
             .policies
             .spend_retry(&question, Instant::now())
             .map_err(|_| refusal)?;
+        // The failed attempt may have crashed its upstream, and the next one must not crash another.
+        outgoing.alone = wait_for_standing(shared, outgoing.fingerprint, call.deadline)
+            .await
+            .map_err(|reason| Refusal { verdict, reason })?;
         shared.metrics.count_retry(&call.route().name, refusal.reason);
         outgoing.body = body;
     }
@@ -326,7 +332,7 @@
             Reason::GrantRefused
         };
         let outcome = if granted { Outcome::Shed } else { Outcome::Cancelled };
-        body.guard().note_head(outcome, incarnation);
+        body.guard().note_refusal(outcome, incarnation);
         // The rest of the short answer is read, so that the connection can be used again.
         body.drain().await;
         return Err(Failed {
@@ -335,7 +341,7 @@
             upstream: Some(upstream.clone()),
         });
     }
-    body.guard().note_head(Outcome::Answered, incarnation);
+    body.guard().note_head(incarnation);
     strip_headers(&mut parts.headers);
     mark_answer(&mut parts.headers, call.id, Verdict::Ran);
     body.hold_head().await;
@@ -365,7 +371,7 @@
         delivery.note_failure(outcome, end);
     }
     if reason == Reason::ConnectFailed && shared.policies.note_refusing(&target.upstream) {
-        tokio::spawn(await_upstream(Arc::clone(shared), target.clone()));
+        tokio::spawn(await_upstream(Arc::clone(shared), target.clone(), call.caller.clone()));
     }
     if probe {
         tokio::spawn(probe_connections(
@@ -383,9 +389,14 @@
 }
 
 /// Gives an upstream that refused a connection no new work until it answers.
-async fn await_upstream(shared: Arc<Shared>, target: Target) {
+async fn await_upstream(shared: Arc<Shared>, target: Target, caller: Caller) {
     for _ in 0..UPSTREAM_PROBES {
         tokio::time::sleep(UPSTREAM_PROBE).await;
+        if let CallEnd::Answered(clock) = shared.calls.probe(target.address).await {
+            // The home has to know of a restart before the first requests arrive.
+            tell_incarnation(&shared, &target.upstream, caller, clock.incarnation).await;
+            break;
+        }
         if shared.calls.is_answering(target.address).await {
             break;
         }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -75,18 +75,14 @@
 
 impl<G: AnswerGuard> AnswerBody<G> {
     pub(super) fn new(incoming: Incoming, guard: G, connections: Arc<Connections>, connection: Connection) -> Self {
-        let mut body = Self {
+        Self {
             incoming,
             guard,
             connections,
             connection: Some(connection),
             last: None,
             stage: Stage::Streaming,
-        };
-        if body.incoming.is_end_stream() {
-            body.finish_upstream();
         }
-        body
     }
 
     pub(crate) fn guard(&mut self) -> &mut G {
@@ -111,6 +107,10 @@
     ///
     /// Without content the head is the end, and nothing after it could be held.
     pub(crate) async fn hold_head(&mut self) {
+        // Not earlier: the guard gives its slot back with what it has heard of the head.
+        if self.stage == Stage::Streaming && self.incoming.is_end_stream() {
+            self.finish_upstream();
+        }
         if self.stage == Stage::Holding {
             std::future::poll_fn(|context| self.guard.poll_release(context)).await;
             self.finish(Ended::Whole);
--- a/src/host/agreement.rs
+++ b/src/host/agreement.rs
@@ -51,6 +51,8 @@
     unreachable: BTreeSet<UpstreamName>,
     heartbeat_sent: Option<Instant>,
     was_leading: Option<Offset>,
+    /// The host is about to stop; others become home of its upstreams.
+    draining: bool,
 }
 
 /// What a round of decisions asks the process to do.
@@ -86,6 +88,7 @@
             unreachable: BTreeSet::new(),
             heartbeat_sent: None,
             was_leading: None,
+            draining: false,
             me,
         };
         Self {
@@ -102,6 +105,11 @@
         use_gate(&mut self.lock().gate)
     }
 
+    /// Announces to the peers that this host is about to stop.
+    pub(super) fn start_draining(&self) {
+        self.lock().draining = true;
+    }
+
     /// Tells whether this host may route.
     pub(crate) fn holds_lease(&self, now: Instant, state: &State) -> bool {
         self.lock().lease.holds(now, state)
@@ -157,7 +165,8 @@
             sender: self.me.clone(),
             folded: state.folded,
             leads: self.election.acting_term(now, state, &self.liveness),
-            has_lease: self.lease.holds(now, state),
+            // Peers that wait for a stopping host's silence can't lend its upstreams' slots meanwhile.
+            has_lease: !self.draining && self.lease.holds(now, state),
         };
         let acks = self.gate.acks(now, state, &self.granter);
         Heartbeat {
@@ -240,10 +249,12 @@
         self.was_leading = term;
     }
 
-    /// Members that can run a broker: this host and those heard lately with a routing lease.
+    /// Members that can start a broker: this host and those heard lately with a routing lease,
+    /// without those that are about to stop.
     fn live_members(&self, now: Instant, state: &State, within: Duration) -> Vec<HostName> {
         let others = self.liveness.lease_holders(now, within).cloned();
-        let me = self.lease.holds(now, state).then(|| self.me.host.clone());
+        let starts = !self.draining && self.lease.holds(now, state);
+        let me = starts.then(|| self.me.host.clone());
         others
             .chain(me)
             .filter(|host| state.membership.members.contains_key(host))
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -10,16 +10,19 @@
 use super::Shared;
 use crate::admission::{
     Admission, Broker, Capacity, Demand, HomeTerm, Instance, Lend, Outcome, Permit, PoolWarmth, Purse, Report, Sample,
-    Step, Ticket, home_host,
+    Sign, Step, Ticket, home_host,
 };
+use crate::choice::Crash;
 use crate::fold::State;
 use crate::membership::outlast;
 use crate::peer::Lends;
-use crate::tables::Upstream;
-use crate::types::{HostName, Reason, UpstreamName};
+use crate::tables::{Priority, Upstream};
+use crate::types::{Caller, HostName, Incarnation, Reason, UpstreamName};
 
 /// Time between two checks whether an upstream is free for a request that runs alone.
 const ISOLATION_CHECK: Duration = Duration::from_millis(5);
+/// Longest wait for the slot with which a host tells that an upstream was restarted.
+const TELL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Credits of this host and, for upstreams whose home it is, the brokers.
 #[derive(Debug)]
@@ -34,6 +37,8 @@
     purses: BTreeMap<UpstreamName, PurseRow>,
     brokers: BTreeMap<UpstreamName, Broker>,
     candidacies: BTreeMap<UpstreamName, Candidacy>,
+    /// Last run of each upstream that is known to have crashed; news of a crash is repeated.
+    crashed: BTreeMap<UpstreamName, Incarnation>,
 }
 
 /// This host's announcement that it becomes home of an upstream.
@@ -280,6 +285,27 @@
         self.lock().run_queue(queue, self, now)
     }
 
+    /// Takes a proved crash of an upstream: its next run starts cold.
+    ///
+    /// Without that, as many requests as it has slots reach the next run before its first answer
+    /// tells that it is another one.
+    fn note_crash(&self, crash: &Crash, now: Instant) -> Outbox {
+        let mut tables = self.lock();
+        let before = tables.crashed.insert(crash.upstream.clone(), crash.incarnation);
+        if before == Some(crash.incarnation) {
+            return Outbox::new();
+        }
+        let broker = tables.brokers.get_mut(&crash.upstream);
+        let lends = broker.map(|b| b.note(Sign::Reset, now)).unwrap_or_default();
+        let queue = lends.into_iter().map(CreditMessage::Lend).collect();
+        tables.run_queue(queue, self, now)
+    }
+
+    /// Tells whether this host is home of an upstream.
+    pub(super) fn runs_broker(&self) -> bool {
+        !self.lock().brokers.is_empty()
+    }
+
     /// Terms of the brokers that this host runs or is about to run, for the heartbeats.
     pub(crate) fn homes(&self) -> BTreeMap<UpstreamName, HomeTerm> {
         let tables = self.lock();
@@ -337,11 +363,12 @@
 
     /// Becomes home of upstreams, lends, recalls, and refuses requests that waited too long.
     ///
-    /// `live` are the members that can run a broker, this host among them if it may route.
-    fn tick(&self, now: Instant, state: &State, live: &[HostName], lease: Duration) -> Outbox {
+    /// `live` are the members that can start a broker. A host that drains is none of them, and
+    /// keeps its brokers until others take over, as long as it `routes`.
+    fn tick(&self, now: Instant, state: &State, live: &[HostName], lease: Duration, routes: bool) -> Outbox {
         let mut tables = self.lock();
         let mut outbox = Outbox::new();
-        if !live.contains(&self.me.host) {
+        if !routes {
             // Without a routing lease, another host may have become home already.
             tables.brokers.clear();
             tables.candidacies.clear();
@@ -556,10 +583,36 @@
     send_messages(shared, outbox);
 }
 
+/// Takes a proved crash of an upstream.
+pub(super) fn note_crash(shared: &Arc<Shared>, crash: &Crash) {
+    let outbox = shared.credits.note_crash(crash, Instant::now());
+    send_messages(shared, outbox);
+}
+
+/// Tells an upstream's home which run of the upstream answers.
+///
+/// The message travels with the release of a slot, which is taken for `caller`.
+pub(crate) async fn tell_incarnation(
+    shared: &Arc<Shared>,
+    upstream: &UpstreamName,
+    caller: Caller,
+    incarnation: Incarnation,
+) {
+    let demand = Demand {
+        priority: Priority::High,
+        caller,
+        deadline: Instant::now() + TELL_LIMIT,
+    };
+    if let Ok(mut slot) = acquire_slot(shared, upstream, &demand).await {
+        slot.sample.incarnation = Some(incarnation);
+    }
+}
+
 /// Does what time requires.
 pub(super) fn tick_credits(shared: &Arc<Shared>, live: &[HostName], now: Instant) {
     let lease = shared.settings.timing.routing_lease.0;
-    let outbox = shared.credits.tick(now, &shared.state(), live, lease);
+    let routes = shared.holds_lease();
+    let outbox = shared.credits.tick(now, &shared.state(), live, lease, routes);
     send_messages(shared, outbox);
 }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -15,11 +15,13 @@
 mod upstream_calls;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use displaydoc::Display;
 use slog::{Logger, info};
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
 
 use crate::control::start_operators;
 use crate::entry::start_entry;
@@ -30,10 +32,11 @@
 
 use peer_side::PeerSide;
 
-pub(crate) use credits::{Slot, acquire_alone, acquire_slot};
+pub(crate) use credits::{Slot, acquire_alone, acquire_slot, tell_incarnation};
 pub(crate) use proposal::{Proposal, find_proposal, propose};
 pub(crate) use shared::{InFlight, Shared};
 pub(crate) use suspicion::{WatchedRun, note_restart, wait_for_standing};
+pub(crate) use upstream_calls::CallEnd;
 
 /// Why a host can't run.
 #[derive(Debug, Display, Error)]
@@ -80,11 +83,33 @@
     Ok(())
 }
 
+/// Longest wait at a stop until other hosts are home of this host's upstreams; without that wait
+/// they first have to notice the loss, and requests for these upstreams wait about 2 s.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two checks of the handover.
+const HANDOVER_CHECK: Duration = Duration::from_millis(20);
+
+/// Waits until other hosts lend the slots of the upstreams whose home this host is.
+async fn hand_over_credits(shared: &Shared) {
+    let has_peers = shared.state().membership.members.len() > 1;
+    let end = Instant::now() + HANDOVER_LIMIT;
+    while has_peers && shared.credits.runs_broker() && Instant::now() < end {
+        sleep(HANDOVER_CHECK).await;
+    }
+    if has_peers {
+        // The new homes ask what this host holds, and would wait 500 ms for a missing answer.
+        sleep(shared.settings.timing.heartbeat.0).await;
+    }
+}
+
 /// Refuses new work and waits for requests in flight, up to the limit of the settings.
 async fn stop(shared: &Shared, log: &Logger) {
     shared.start_draining();
     info!(log, "draining"; "in_flight" => shared.in_flight());
-    let drained = tokio::time::timeout(shared.settings.timing.shutdown.0, shared.wait_until_idle());
+    let drained = tokio::time::timeout(shared.settings.timing.shutdown.0, async {
+        shared.wait_until_idle().await;
+        hand_over_credits(shared).await;
+    });
     tokio::select! {
         result = drained => info!(log, "drained"; "complete" => result.is_ok()),
         () = signals::wait_for_stop() => info!(log, "second signal, not waiting"),
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -104,6 +104,7 @@
 
     pub(crate) fn start_draining(&self) {
         self.draining.store(true, Ordering::SeqCst);
+        self.agreement.start_draining();
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/src/host/suspicion.rs
+++ b/src/host/suspicion.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::Shared;
+use super::credits::note_crash;
 use super::upstream_calls::CallEnd;
 use crate::choice::{Crash, Fingerprint, RunEnd, Standing, SuspectMessage, Suspects, Target};
 use crate::peer::SuspectNews;
@@ -17,6 +18,8 @@
 const PROBE_EVERY: Duration = Duration::from_millis(100);
 /// Probes until the question stays open; a suspicion ends by itself after 5 s.
 const PROBES_MAX: u32 = 20;
+/// Age up to which a crash is news; an older one may be of a run before the present one.
+const CRASH_NEWS: Duration = Duration::from_secs(2);
 /// Time between two questions of a request that waits.
 const JUDGE_EVERY: Duration = Duration::from_millis(20);
 
@@ -151,7 +154,10 @@
             CallEnd::Answered(clock) if clock.incarnation == crash.incarnation => {
                 shared.suspicion.change(|s| s.disprove_crash(&crash, now))
             }
-            CallEnd::Answered(_) | CallEnd::Refused => shared.suspicion.change(|s| s.confirm_crash(&crash, now)),
+            CallEnd::Answered(_) | CallEnd::Refused => {
+                note_crash(&shared, &crash);
+                shared.suspicion.change(|s| s.confirm_crash(&crash, now))
+            }
             CallEnd::Failed => {
                 sleep(PROBE_EVERY).await;
                 continue;
@@ -174,12 +180,29 @@
 /// Takes messages of another host and gives those that answer them.
 pub(super) fn take_news(shared: &Arc<Shared>, news: &SuspectNews) {
     let now = Instant::now();
+    for crash in news.messages.iter().flat_map(list_proved) {
+        note_crash(shared, crash);
+    }
     let answers = shared
         .suspicion
         .change(|s| news.messages.iter().flat_map(|m| s.hear(m, now)).collect());
     send_messages(shared, answers);
 }
 
+/// Recent crashes that a message proves.
+fn list_proved(message: &SuspectMessage) -> impl Iterator<Item = &Crash> {
+    let suspect = match message {
+        SuspectMessage::Share(suspect) | SuspectMessage::Confirm { suspect, .. } => Some(suspect),
+        SuspectMessage::Ask { .. }
+        | SuspectMessage::Grant { .. }
+        | SuspectMessage::End { .. }
+        | SuspectMessage::Ended { .. } => None,
+    };
+    let crashes = suspect.into_iter().flat_map(|suspect| &suspect.crashes);
+    let proved = crashes.filter(|(_, info)| info.confirmed && !info.cleared && info.age < CRASH_NEWS);
+    proved.map(|(crash, _)| crash)
+}
+
 /// Does what time requires.
 pub(super) fn tick_suspicion(shared: &Arc<Shared>, members: impl IntoIterator<Item = HostName>, now: Instant) {
     let messages = {
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -55,6 +55,19 @@
     pub peak: u64,
 }
 
+/// A run of a request for a key.
+#[derive(Debug, Serialize)]
+pub struct KeyRun {
+    /// Hash of the key, as the request carried it.
+    pub hash: String,
+    /// Epoch that the request carried.
+    pub epoch: u64,
+    /// Microseconds since the Unix epoch; processes of one machine share this clock.
+    pub start: u64,
+    /// The same at the end; missing while the run goes on.
+    pub end: Option<u64>,
+}
+
 /// A running stand-in.
 #[derive(Debug)]
 pub struct Upstream {
@@ -65,12 +78,12 @@
     busy: AtomicU64,
     grants: Mutex<GrantCheck>,
     report: Mutex<Report>,
+    runs: Mutex<Vec<KeyRun>>,
 }
 
 impl Upstream {
     fn new(behaviour: Behaviour) -> Self {
-        let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-        let incarnation = u64::try_from(since.as_micros()).unwrap_or(0);
+        let incarnation = read_clock();
         let report = Report {
             incarnation,
             ran: 0,
@@ -86,6 +99,7 @@
             busy: AtomicU64::new(0),
             grants: Mutex::new(GrantCheck::new(incarnation)),
             report: Mutex::new(report),
+            runs: Mutex::default(),
         }
     }
 
@@ -98,6 +112,10 @@
                 let report = serde_json::to_string(&*self.lock_report()).unwrap_or_default();
                 self.text(StatusCode::OK, report)
             }
+            (&Method::GET, "/.ragworthub/runs") => {
+                let runs = serde_json::to_string(&*self.lock_runs()).unwrap_or_default();
+                self.text(StatusCode::OK, runs)
+            }
             _ => self.run(request).await,
         }
     }
@@ -144,7 +162,11 @@
         }
         let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
         self.note_run(request.headers(), busy);
+        let run = self.start_key_run(request.headers());
         let answer = self.work(request).await;
+        if let Some(index) = run {
+            self.lock_runs()[index].end = Some(read_clock());
+        }
         self.busy.fetch_sub(1, Ordering::SeqCst);
         answer
     }
@@ -189,6 +211,30 @@
         }
     }
 
+    /// Notes a run for a key and gives its place in the list.
+    fn start_key_run(&self, headers: &HeaderMap) -> Option<usize> {
+        let header = |name| headers.get(name).and_then(|v| v.to_str().ok());
+        let hash = header("ragworthub-key-hash")?.to_owned();
+        let epoch = header("ragworthub-epoch")?.parse().ok()?;
+        let mut runs = self.lock_runs();
+        // Bounds the memory of a long load run; tests of promises send fewer requests.
+        if runs.len() >= 100_000 {
+            return None;
+        }
+        let (start, end) = (read_clock(), None);
+        runs.push(KeyRun {
+            hash,
+            epoch,
+            start,
+            end,
+        });
+        Some(runs.len() - 1)
+    }
+
+    fn lock_runs(&self) -> MutexGuard<'_, Vec<KeyRun>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_grants(&self) -> MutexGuard<'_, GrantCheck> {
         self.grants.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -228,6 +274,12 @@
     }
 }
 
+/// Microseconds since the Unix epoch.
+fn read_clock() -> u64 {
+    let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(0)
+}
+
 fn find_parameter(query: &str, name: &str) -> Option<u64> {
     let value = query
         .split('&')
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -37,6 +37,19 @@
             .args([&format!("-{name}"), &self.child.id().to_string()])
             .status();
         assert!(status.unwrap().success());
+        if name == "STOP" {
+            wait_for("the process to be stopped", || self.is_stopped().then_some(()));
+        }
+    }
+
+    /// Tells whether all threads are stopped; on a busy machine some run on for a while.
+    fn is_stopped(&self) -> bool {
+        let is_stopped = |task: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(task.path().join("stat"));
+            stat.is_ok_and(|s| s.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T')))
+        };
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        tasks.flatten().all(is_stopped)
     }
 
     /// Waits for the process to end and returns its exit code.
