--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -126,7 +126,11 @@
 
     /// Counts a caller's request until the value is dropped.
     pub(crate) fn enter_request(self: &Arc<Self>) -> InFlight {
-        self.requests.send_modify(|n| *n += 1);
+        // Waking the one task that waits at a stop costs more than the count itself.
+        self.requests.send_if_modified(|n| {
+            *n += 1;
+            false
+        });
         InFlight(Arc::clone(self))
     }
 
@@ -150,7 +154,10 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.requests.send_modify(|n| *n -= 1);
+        self.0.requests.send_if_modified(|n| {
+            *n -= 1;
+            *n == 0
+        });
     }
 }
 
--- a/src/host/suspicion.rs
+++ b/src/host/suspicion.rs
@@ -51,7 +51,10 @@
     /// Changes the suspects and wakes the requests that wait.
     fn change(&self, change: impl FnOnce(&mut Suspects) -> Messages) -> Messages {
         let messages = change(&mut self.lock());
-        self.changed.send_modify(|n| *n += 1);
+        // Nobody waits while there are no suspects.
+        if self.changed.receiver_count() > 0 {
+            self.changed.send_modify(|n| *n += 1);
+        }
         messages
     }
 }
@@ -123,7 +126,7 @@
     fingerprint: Fingerprint,
     deadline: Instant,
 ) -> Result<bool, Reason> {
-    let mut changed = shared.suspicion.changed.subscribe();
+    let mut changed = None;
     loop {
         let now = Instant::now();
         let (standing, messages) = shared.suspicion.lock().judge(fingerprint, now);
@@ -139,7 +142,11 @@
             }
             Standing::Wait => {
                 let until = deadline.min(now + JUDGE_EVERY);
-                timeout_at(until, changed.changed()).await.ok();
+                match &mut changed {
+                    // A change before the subscription shows at the next judgement.
+                    None => changed = Some(shared.suspicion.changed.subscribe()),
+                    Some(changed) => drop(timeout_at(until, changed.changed()).await),
+                }
             }
         }
     }
@@ -215,6 +222,9 @@
 
 /// Sends messages to peers, and those to this host itself at once.
 fn send_messages(shared: &Arc<Shared>, messages: Messages) {
+    if messages.is_empty() {
+        return;
+    }
     let members: Vec<HostName> = shared.peers.members();
     let mut pending = messages;
     while let Some((target, message)) = pending.pop() {
