Announce terms of credits that were given up

Cause: a run of the fault tests had requests refused with queue-timeout for over 60 s. A host that has heard the announced term of a candidate follows it; if the candidate gives up, that term has no broker, and a home that has not heard it keeps its lower term.

Ruled out: ownership; status and ownership of all three hosts agreed, with an owner for every range and nothing frozen.

Change: a candidate that gives up announces its term until a higher one is known, so that the home takes a higher term, which all follow.

--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -37,6 +37,9 @@
     purses: BTreeMap<UpstreamName, PurseRow>,
     brokers: BTreeMap<UpstreamName, Broker>,
     candidacies: BTreeMap<UpstreamName, Candidacy>,
+    /// Announced terms that never got a broker. A host that has heard one follows it until it hears
+    /// of a higher one, so they are announced until the present home has taken such a term.
+    withdrawn: BTreeMap<UpstreamName, HomeTerm>,
     /// Last run of each upstream that is known to have crashed; news of a crash is repeated.
     crashed: BTreeMap<UpstreamName, Incarnation>,
 }
@@ -314,7 +317,10 @@
             .candidacies
             .iter()
             .map(|(name, candidacy)| (name, &candidacy.term));
-        running
+        tables
+            .withdrawn
+            .iter()
+            .chain(running)
             .chain(announced)
             .map(|(name, term)| (name.clone(), term.clone()))
             .collect()
@@ -371,7 +377,7 @@
         if !routes {
             // Without a routing lease, another host may have become home already.
             tables.brokers.clear();
-            tables.candidacies.clear();
+            // Its candidacies are withdrawn below, since it is not among the live ones either.
         }
         for pool in state.tables.pools.values() {
             for (name, upstream) in &pool.upstreams {
@@ -492,7 +498,7 @@
         let is_home = home_host(name, live) == Some(&credits.me.host);
         if !is_home {
             // Another host's broker takes over with a higher term, which ends this one.
-            self.candidacies.remove(name);
+            self.withdraw(name);
             return Outbox::new();
         }
         if let Some(broker) = self.brokers.get_mut(name) {
@@ -513,6 +519,17 @@
         self.carry_out(name, steps, credits, now)
     }
 
+    /// Gives up the candidacy for an upstream, and forgets it once a higher term is known.
+    fn withdraw(&mut self, name: &UpstreamName) {
+        if let Some(candidacy) = self.candidacies.remove(name) {
+            self.withdrawn.insert(name.clone(), candidacy.term);
+        }
+        let known = self.purses.get(name).and_then(|row| row.purse.term());
+        if known > self.withdrawn.get(name) {
+            self.withdrawn.remove(name);
+        }
+    }
+
     /// Announces a term and gives it once no earlier broker can lend any more.
     fn win_candidacy(
         &mut self,
