--- a/src/entry/delivery.rs
+++ b/src/entry/delivery.rs
@@ -75,14 +75,19 @@
         self.counted = Some(counted);
     }
 
-    /// Notes the head of an answer.
-    pub(super) fn note_head(&mut self, outcome: Outcome, incarnation: Option<Incarnation>, age: Duration) {
-        self.note_outcome(outcome, incarnation, age);
+    /// Notes the head of an answer to a request that has run.
+    pub(super) fn note_head(&mut self, incarnation: Option<Incarnation>, age: Duration) {
+        self.note_outcome(Outcome::Answered, incarnation, age);
         if let Some(held) = &mut self.held {
             held.run.set_end(RunEnd::Completed);
         }
     }
 
+    /// Notes that the upstream refused the request, which proves nothing about a suspect.
+    pub(super) fn note_refusal(&mut self, outcome: Outcome, incarnation: Option<Incarnation>, age: Duration) {
+        self.note_outcome(outcome, incarnation, age);
+    }
+
     /// Notes that the attempt ended without an answer.
     pub(super) fn note_failure(&mut self, outcome: Outcome, end: RunEnd, age: Duration) {
         self.note_outcome(outcome, None, age);
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -12,14 +12,17 @@
     Admission, Broker, Capacity, Demand, HomeTerm, Instance, Lend, Outcome, Permit, PoolWarmth, Purse, Report, Sample,
     Sign, Step, Ticket, home_host,
 };
+use crate::choice::Crash;
 use crate::fold::State;
 use crate::membership::outlast;
 use crate::peer::Lends;
-use crate::tables::Upstream;
-use crate::types::{HostName, Reason, UpstreamName};
+use crate::tables::{Priority, Upstream};
+use crate::types::{Caller, HostName, Incarnation, Reason, UpstreamName};
 
 /// Time between two checks whether an upstream is free for a request that runs alone.
 const ISOLATION_CHECK: Duration = Duration::from_millis(5);
+/// Longest wait for the slot with which a host tells that an upstream was restarted.
+const TELL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Credits of this host and, for upstreams whose home it is, the brokers.
 #[derive(Debug)]
@@ -34,12 +37,17 @@
     purses: BTreeMap<UpstreamName, PurseRow>,
     brokers: BTreeMap<UpstreamName, Broker>,
     candidacies: BTreeMap<UpstreamName, Candidacy>,
+    /// Announced terms that never got a broker. A host that has heard one follows it until it hears
+    /// of a higher one, so they are announced until the present home has taken such a term.
+    withdrawn: BTreeMap<UpstreamName, HomeTerm>,
+    /// Last run of each upstream that is known to have crashed; news of a crash is repeated.
+    crashed: BTreeMap<UpstreamName, Incarnation>,
 }
 
 /// This host's announcement that it becomes home of an upstream.
 ///
 /// A member that has heard the term runs no earlier broker any more, so the new one may start as
-/// soon as all members have answered; otherwise it waits until the lease of the others has ended.
+/// soon as all members with a routing lease have answered.
 #[derive(Debug)]
 struct Candidacy {
     term: HomeTerm,
@@ -280,6 +288,27 @@
         self.lock().run_queue(queue, self, now)
     }
 
+    /// Takes a proved crash of an upstream: its next run starts cold.
+    ///
+    /// Without that, as many requests as it has slots reach the next run before its first answer
+    /// tells that it is another one.
+    fn note_crash(&self, crash: &Crash, now: Instant) -> Outbox {
+        let mut tables = self.lock();
+        let before = tables.crashed.insert(crash.upstream.clone(), crash.incarnation);
+        if before == Some(crash.incarnation) {
+            return Outbox::new();
+        }
+        let broker = tables.brokers.get_mut(&crash.upstream);
+        let lends = broker.map(|b| b.note(Sign::Reset, now)).unwrap_or_default();
+        let queue = lends.into_iter().map(CreditMessage::Lend).collect();
+        tables.run_queue(queue, self, now)
+    }
+
+    /// Tells whether this host is home of an upstream.
+    pub(super) fn runs_broker(&self) -> bool {
+        !self.lock().brokers.is_empty()
+    }
+
     /// Terms of the brokers that this host runs or is about to run, for the heartbeats.
     pub(crate) fn homes(&self) -> BTreeMap<UpstreamName, HomeTerm> {
         let tables = self.lock();
@@ -288,7 +317,10 @@
             .candidacies
             .iter()
             .map(|(name, candidacy)| (name, &candidacy.term));
-        running
+        tables
+            .withdrawn
+            .iter()
+            .chain(running)
             .chain(announced)
             .map(|(name, term)| (name.clone(), term.clone()))
             .collect()
@@ -380,14 +412,15 @@
 
     /// Becomes home of upstreams, lends, recalls, and refuses requests that waited too long.
     ///
-    /// `live` are the members that can run a broker, this host among them if it may route.
-    fn tick(&self, now: Instant, state: &State, live: &[HostName], lease: Duration) -> Outbox {
+    /// `live` are the members that can start a broker. A host that drains is none of them, and
+    /// keeps its brokers until others take over, as long as it `routes`.
+    fn tick(&self, now: Instant, state: &State, live: &[HostName], lease: Duration, routes: bool) -> Outbox {
         let mut tables = self.lock();
         let mut outbox = Outbox::new();
-        if !live.contains(&self.me.host) {
+        if !routes {
             // Without a routing lease, another host may have become home already.
             tables.brokers.clear();
-            tables.candidacies.clear();
+            // Its candidacies are withdrawn below, since it is not among the live ones either.
         }
         for pool in state.tables.pools.values() {
             for (name, upstream) in &pool.upstreams {
@@ -508,7 +541,7 @@
         let is_home = home_host(name, live) == Some(&credits.me.host);
         if !is_home {
             // Another host's broker takes over with a higher term, which ends this one.
-            self.candidacies.remove(name);
+            self.withdraw(name);
             return Outbox::new();
         }
         if let Some(broker) = self.brokers.get_mut(name) {
@@ -516,7 +549,7 @@
             broker.resize(capacity, hosts, now);
             return Outbox::new();
         }
-        let Some(term) = self.win_candidacy(name, state, credits, lease, now) else {
+        let Some(term) = self.win_candidacy(name, live, credits, lease, now) else {
             return Outbox::new();
         };
         let instances = members.iter().map(|(host, member)| Instance {
@@ -529,11 +562,22 @@
         self.carry_out(name, steps, credits, now)
     }
 
+    /// Gives up the candidacy for an upstream, and forgets it once a higher term is known.
+    fn withdraw(&mut self, name: &UpstreamName) {
+        if let Some(candidacy) = self.candidacies.remove(name) {
+            self.withdrawn.insert(name.clone(), candidacy.term);
+        }
+        let known = self.purses.get(name).and_then(|row| row.purse.term());
+        if known > self.withdrawn.get(name) {
+            self.withdrawn.remove(name);
+        }
+    }
+
     /// Announces a term and gives it once no earlier broker can lend any more.
     fn win_candidacy(
         &mut self,
         name: &UpstreamName,
-        state: &State,
+        live: &[HostName],
         credits: &Credits,
         lease: Duration,
         now: Instant,
@@ -554,9 +598,10 @@
             self.candidacies.insert(name.clone(), candidacy);
         }
         let candidacy = self.candidacies.get(name)?;
-        let others = state.membership.members.keys().filter(|host| **host != credits.me.host);
-        let all_heard = others.clone().all(|host| candidacy.heard.contains(host));
-        if !all_heard && now < candidacy.since + outlast(lease) {
+        // A member without a routing lease runs no broker. One that was not heard for the detection
+        // time has lost its lease by the end of the 500 ms that the new broker waits for its answer.
+        let mut others = live.iter().filter(|host| **host != credits.me.host);
+        if !others.all(|host| candidacy.heard.contains(host)) && now < candidacy.since + outlast(lease) {
             return None;
         }
         self.candidacies.remove(name).map(|candidacy| candidacy.term)
@@ -627,10 +672,36 @@
     }
 }
 
+/// Takes a proved crash of an upstream.
+pub(super) fn note_crash(shared: &Arc<Shared>, crash: &Crash) {
+    let outbox = shared.credits.note_crash(crash, Instant::now());
+    send_messages(shared, outbox);
+}
+
+/// Tells an upstream's home which run of the upstream answers.
+///
+/// The message travels with the release of a slot, which is taken for `caller`.
+pub(crate) async fn tell_incarnation(
+    shared: &Arc<Shared>,
+    upstream: &UpstreamName,
+    caller: Caller,
+    incarnation: Incarnation,
+) {
+    let demand = Demand {
+        priority: Priority::High,
+        caller,
+        deadline: Instant::now() + TELL_LIMIT,
+    };
+    if let Ok(mut slot) = acquire_slot(shared, upstream, &demand).await {
+        slot.sample.incarnation = Some(incarnation);
+    }
+}
+
 /// Does what time requires.
 pub(super) fn tick_credits(shared: &Arc<Shared>, live: &[HostName], now: Instant) {
     let lease = shared.settings.timing.routing_lease.0;
-    let outbox = shared.credits.tick(now, &shared.state(), live, lease);
+    let routes = shared.holds_lease();
+    let outbox = shared.credits.tick(now, &shared.state(), live, lease, routes);
     send_messages(shared, outbox);
 }
 
