--- a/src/admission/broker.rs
+++ b/src/admission/broker.rs
@@ -111,16 +111,13 @@
         &self.term
     }
 
+    #[cfg(test)]
     pub(crate) fn ramp(&self) -> &Ramp {
         &self.ramp
     }
 
-    /// Members that have not said yet what they hold.
-    pub(crate) fn unanswered(&self) -> impl Iterator<Item = &Instance> {
-        self.rebuild.iter().flat_map(|r| &r.unanswered)
-    }
-
     /// Tells whether credits under an earlier broker may be unknown; nothing is lent then.
+    #[cfg(test)]
     pub(crate) fn is_rebuilding(&self) -> bool {
         self.rebuild.is_some()
     }
--- a/src/admission/purse.rs
+++ b/src/admission/holder.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Ticket(pub(crate) u64);
 
-/// Right to run one attempt; goes back with [`Purse::release`].
+/// Right to run one attempt; goes back with [`CreditHolder::release`].
 #[derive(Debug, PartialEq, Eq)]
 #[must_use]
 pub(crate) struct Permit {
@@ -56,7 +56,7 @@
     Refuse(Reason),
 }
 
-/// What the host has to do for a purse.
+/// What the host has to do for a holder.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Step {
     /// Starts a waiting request.
@@ -82,7 +82,7 @@
 
 /// Credits of one host for one upstream, and the requests that wait for them.
 #[derive(Debug)]
-pub(crate) struct Purse {
+pub(crate) struct CreditHolder {
     upstream: UpstreamName,
     owner: Instance,
     term: Option<HomeTerm>,
@@ -118,7 +118,7 @@
     ejected_until: Option<Instant>,
 }
 
-impl Purse {
+impl CreditHolder {
     /// Starts without credits and without a home host.
     pub(crate) fn new(upstream: UpstreamName, owner: Instance, queue_max: usize) -> Self {
         Self {
@@ -167,6 +167,7 @@
     }
 
     /// Slots that the host may use at this time, running attempts included.
+    #[cfg(test)]
     pub(crate) fn usable(&self, now: Instant) -> u32 {
         if self.is_valid(now) { self.slots.held } else { 0 }
     }
@@ -181,6 +182,7 @@
     }
 
     /// Connections that the host may have open at this time.
+    #[cfg(test)]
     pub(crate) fn connection_limit(&self, now: Instant) -> u32 {
         if self.is_valid(now) { self.connections.held } else { 0 }
     }
@@ -207,6 +209,7 @@
     }
 
     /// Sets how many connections are open and how many could be used.
+    #[cfg(test)]
     pub(crate) fn set_connections(&mut self, open: u32, wanted: u32, now: Instant) -> Vec<Step> {
         self.stale |= self.connections_wanted != wanted;
         self.connections_open = open;
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,10 +1,10 @@
 //! Limits per upstream that hold over all hosts.
 //!
 //! Each upstream has a home host whose [`Broker`] lends its slots and connections. Each host has a
-//! [`Purse`] per upstream, which holds the credits lent to it and queues its requests. Messages
-//! carry absolute counts with versions, so that loss, delay and repetition are harmless: a purse
+//! [`CreditHolder`] per upstream, which holds the credits lent to it and queues its requests. Messages
+//! carry absolute counts with versions, so that loss, delay and repetition are harmless: a holder
 //! takes an allowance only if it is newer than the last, and a broker counts the most that a host
-//! may hold. Credits expire at the purse before they expire at the broker.
+//! may hold. Credits expire at the holder before they expire at the broker.
 
 use std::time::Duration;
 
@@ -15,8 +15,8 @@
 
 mod broker;
 mod fair;
+mod holder;
 mod ledger;
-mod purse;
 mod ramp;
 
 #[cfg(test)]
@@ -25,39 +25,41 @@
 pub(crate) use crate::types::Instance;
 
 pub(crate) use broker::{Broker, Capacity};
-pub(crate) use purse::{Admission, Demand, Permit, Purse, Step, Ticket};
-pub(crate) use ramp::{PoolWarmth, Ramp, Sign};
+pub(crate) use holder::{Admission, CreditHolder, Demand, Permit, Step, Ticket};
+#[cfg(test)]
+use ramp::Ramp;
+pub(crate) use ramp::{PoolWarmth, Sign};
 
 /// Time after a host's last message at which the broker takes its credits back.
 pub(crate) const CREDIT_EXPIRY: Duration = Duration::from_millis(500);
 
-/// Time after sending a confirmed report during which a purse may use its credits.
+/// Time after sending a confirmed report during which a holder may use its credits.
 ///
 /// Shorter than [`CREDIT_EXPIRY`] by 2%, because the rates of two clocks may each be off by 1%.
 pub(crate) const CREDIT_USE: Duration = Duration::from_millis(490);
 
 value! {
-    /// Identifies one broker of an upstream; a purse follows the highest that it knows.
+    /// Identifies one broker of an upstream; a holder follows the highest that it knows.
     ///
-    /// A host that becomes home uses a round above any that its own purse has followed.
+    /// A host that becomes home uses a round above any that its own holder has followed.
     #[derive(Eq, PartialOrd, Ord)]
     pub(crate) struct HomeTerm {
         pub(crate) round: u64,
         pub(crate) host: HostName,
     }
 
-    /// What a purse holds of one resource.
+    /// What a holder holds of one resource.
     #[derive(Copy, Default, Eq)]
     pub(crate) struct Holding {
-        /// Version of the last allowance that the purse took.
+        /// Version of the last allowance that the holder took.
         pub(crate) version: u64,
-        /// Units that the purse may use.
+        /// Units that the holder may use.
         pub(crate) held: u32,
         /// Units still in use although the credits behind them have expired.
         pub(crate) overdue: u32,
     }
 
-    /// What a broker allows a purse of one resource.
+    /// What a broker allows a holder of one resource.
     #[derive(Copy, Default, Eq)]
     pub(crate) struct Allowance {
         pub(crate) version: u64,
@@ -99,7 +101,7 @@
         pub(crate) incarnation: Option<Incarnation>,
     }
 
-    /// State of a purse, sent to the home host of its upstream.
+    /// State of a holder, sent to the home host of its upstream.
     pub(crate) struct Report {
         pub(crate) upstream: UpstreamName,
         pub(crate) term: HomeTerm,
@@ -120,7 +122,7 @@
         pub(crate) samples: Vec<Sample>,
     }
 
-    /// State of a purse's account at the broker, sent on each report and on each change.
+    /// State of a holder's account at the broker, sent on each report and on each change.
     pub(crate) struct Lend {
         pub(crate) upstream: UpstreamName,
         pub(crate) term: HomeTerm,
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -44,7 +44,7 @@
 }
 
 struct Host {
-    purse: Purse,
+    holder: CreditHolder,
     permits: Vec<Permit>,
     paused_until: u64,
     served: u32,
@@ -58,7 +58,7 @@
             incarnation: Incarnation(incarnation),
         };
         Self {
-            purse: Purse::new(name("upstream", 0), instance, 64),
+            holder: CreditHolder::new(name("upstream", 0), instance, 64),
             permits: Vec::new(),
             paused_until: 0,
             served: 0,
@@ -111,7 +111,7 @@
             round: self.brokers.last().map_or(1, |(b, _)| b.term().round + 1),
             host: name("host", 0),
         };
-        let members: Vec<Instance> = self.hosts.iter().map(|h| instance(&h.purse)).collect();
+        let members: Vec<Instance> = self.hosts.iter().map(|h| instance(&h.holder)).collect();
         let now = self.now();
         for (_, stops) in &mut self.brokers {
             *stops = (*stops).min(self.at + stops_in);
@@ -163,7 +163,7 @@
         if self.hosts[host].paused_until > self.at {
             return;
         }
-        let (admission, steps) = self.hosts[host].purse.admit(&demand, now);
+        let (admission, steps) = self.hosts[host].holder.admit(&demand, now);
         if let Admission::Start(permit) = admission {
             self.hosts[host].permits.push(permit);
             self.hosts[host].served += 1;
@@ -177,7 +177,7 @@
             && let Some(permit) = self.hosts[host].permits.pop()
         {
             let done = sample(Outcome::Answered, ms(5));
-            let steps = self.hosts[host].purse.release(permit, done, now);
+            let steps = self.hosts[host].holder.release(permit, done, now);
             self.run_steps(host, steps);
         }
     }
@@ -195,9 +195,9 @@
         }
         for host in 0..HOSTS {
             if self.hosts[host].paused_until <= self.at {
-                let limit = self.hosts[host].purse.connection_limit(now);
+                let limit = self.hosts[host].holder.connection_limit(now);
                 self.hosts[host].connections = self.hosts[host].connections.min(limit);
-                let steps = self.hosts[host].purse.tick(now);
+                let steps = self.hosts[host].holder.tick(now);
                 self.run_steps(host, steps);
             }
         }
@@ -218,7 +218,7 @@
                 self.news.push((at + 1, host, term));
                 continue;
             }
-            let steps = self.hosts[host].purse.set_home(term, now);
+            let steps = self.hosts[host].holder.set_home(term, now);
             self.run_steps(host, steps);
         }
     }
@@ -232,7 +232,7 @@
                 }
             }
             Message::Down(lend) => {
-                let Some(host) = self.hosts.iter().position(|h| instance(&h.purse) == lend.to) else {
+                let Some(host) = self.hosts.iter().position(|h| instance(&h.holder) == lend.to) else {
                     return;
                 };
                 if self.hosts[host].paused_until > self.at {
@@ -242,7 +242,7 @@
                     self.network.insert((at, self.sent), Message::Down(lend));
                     return;
                 }
-                let steps = self.hosts[host].purse.hear(&lend, now);
+                let steps = self.hosts[host].holder.hear(&lend, now);
                 self.run_steps(host, steps);
             }
         }
@@ -263,9 +263,9 @@
     }
 
     fn check(&self, now: Instant) {
-        let usable: u32 = self.hosts.iter().map(|h| h.purse.usable(now)).sum();
+        let usable: u32 = self.hosts.iter().map(|h| h.holder.usable(now)).sum();
         assert!(usable <= SLOTS, "{usable} slots usable at {} ms", self.at);
-        let connections: u32 = self.hosts.iter().map(|h| h.purse.connection_limit(now)).sum();
+        let connections: u32 = self.hosts.iter().map(|h| h.holder.connection_limit(now)).sum();
         assert!(
             connections <= CONNECTIONS,
             "{connections} connections at {} ms",
@@ -280,12 +280,12 @@
             Action::Admit(host, caller, patience) => self.admit(host, Priority::Normal, caller, patience),
             Action::Release(host) => self.release(host),
             Action::Connect(host, wanted) => {
-                let steps = self.hosts[host].purse.set_connections(0, wanted, now);
+                let steps = self.hosts[host].holder.set_connections(0, wanted, now);
                 self.run_steps(host, steps);
             }
             Action::Pause(host, millis) => self.hosts[host].paused_until = self.at + millis,
             Action::Restart(host) => {
-                let incarnation = instance(&self.hosts[host].purse).incarnation.0 + 1;
+                let incarnation = instance(&self.hosts[host].holder).incarnation.0 + 1;
                 self.hosts[host] = Host::new(host, incarnation);
                 let term = self.brokers.last().unwrap().0.term().clone();
                 self.news.push((self.at, host, term));
@@ -300,8 +300,8 @@
     }
 }
 
-fn instance(purse: &Purse) -> Instance {
-    purse.owner().clone()
+fn instance(holder: &CreditHolder) -> Instance {
+    holder.owner().clone()
 }
 
 #[derive(Clone, Debug)]
@@ -444,24 +444,24 @@
         deadline: now + ms(400),
     };
     let start = world.now();
-    let purse = &mut world.hosts[0].purse;
-    let (_, steps) = purse.admit(&demand(start), start);
+    let holder = &mut world.hosts[0].holder;
+    let (_, steps) = holder.admit(&demand(start), start);
     let first = broker.hear(&report_of(steps), start);
-    let started = purse.hear(&first[0], start);
+    let started = holder.hear(&first[0], start);
     let Step::Start(_, permit) = started.into_iter().next().unwrap() else {
         panic!("no credit came");
     };
-    let (_, steps) = purse.admit(&demand(start), start + ms(1));
+    let (_, steps) = holder.admit(&demand(start), start + ms(1));
     let late = broker.hear(&report_of(steps), start + ms(1));
     assert_eq!(late[0].slots.count, 2);
     let permit_end = sample(Outcome::Cancelled, ms(1));
-    purse.cancel(Ticket(2), start + ms(2));
-    purse.release(permit, permit_end, start + ms(2));
-    purse.tick(start + ms(3));
-    purse.tick(start + ms(10));
-    assert_eq!(purse.usable(start + ms(10)), 0, "the idle credit went back");
-    purse.hear(&late[0], start + ms(11));
-    assert_eq!(purse.usable(start + ms(11)), 1);
+    holder.cancel(Ticket(2), start + ms(2));
+    holder.release(permit, permit_end, start + ms(2));
+    holder.tick(start + ms(3));
+    holder.tick(start + ms(10));
+    assert_eq!(holder.usable(start + ms(10)), 0, "the idle credit went back");
+    holder.hear(&late[0], start + ms(11));
+    assert_eq!(holder.usable(start + ms(11)), 1);
 }
 
 /// Guards against a new home host that renews credits which the earlier one still manages.
@@ -476,7 +476,7 @@
     // Host 0 knows the new home at once, host 1 only later.
     world.news.retain(|(_, host, _)| *host == 0);
     for _ in 0..690 {
-        if world.hosts[1].purse.waiting() == 0 {
+        if world.hosts[1].holder.waiting() == 0 {
             world.admit(1, Priority::Normal, 1, 2000);
         }
         world.step();
@@ -505,7 +505,7 @@
     let mut world = World::new(0, 7);
     for round in 0..3000 {
         for host in 0..HOSTS {
-            if world.hosts[host].purse.waiting() < 4 {
+            if world.hosts[host].holder.waiting() < 4 {
                 let priority = if host == 4 { Priority::Bulk } else { Priority::High };
                 world.admit(host, priority, host, 2000);
             }
@@ -528,7 +528,7 @@
     (0..10).for_each(|_| world.step());
     world.apply(&Action::Connect(0, 20));
     (0..10).for_each(|_| world.step());
-    let limit = |world: &World, host: usize| world.hosts[host].purse.connection_limit(world.now());
+    let limit = |world: &World, host: usize| world.hosts[host].holder.connection_limit(world.now());
     assert_eq!(limit(&world, 0), 20);
     world.apply(&Action::Connect(1, 2));
     (0..200).for_each(|_| world.step());
@@ -544,15 +544,15 @@
     (0..5).for_each(|_| world.step());
     assert_eq!(world.hosts[1].served, 1);
     let now = world.now();
-    let steps = world.hosts[0].purse.set_isolate(true, now);
+    let steps = world.hosts[0].holder.set_isolate(true, now);
     world.run_steps(0, steps);
     (0..100).for_each(|_| world.step());
-    assert!(!world.hosts[0].purse.is_isolated(world.now()));
+    assert!(!world.hosts[0].holder.is_isolated(world.now()));
     world.release(1);
     world.admit(0, Priority::Normal, 0, 500);
     world.admit(2, Priority::Normal, 2, 500);
     (0..10).for_each(|_| world.step());
-    assert!(world.hosts[0].purse.is_isolated(world.now()));
+    assert!(world.hosts[0].holder.is_isolated(world.now()));
     assert_eq!((world.hosts[0].served, world.hosts[2].served), (1, 0));
 }
 
@@ -576,7 +576,7 @@
         deadline: world.now() + ms(8),
     };
     let now = world.now();
-    let (admission, _) = world.hosts[0].purse.admit(&demand, now);
+    let (admission, _) = world.hosts[0].holder.admit(&demand, now);
     assert_eq!(admission, Admission::Refuse(Reason::QueueTimeout));
 }
 
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -15,6 +15,6 @@
 pub(crate) use pick::{LatencyAverage, Load, pick_again, pick_upstream};
 pub(crate) use retry::{Denial, Failure, RetryBudget};
 pub(crate) use silence::{ConnectionId, Silence, SilenceStep};
-pub(crate) use suspects::{
-    Crash, CrashInfo, Fingerprint, Run, RunEnd, Standing, Suspect, SuspectMessage, Suspects, Target,
-};
+pub(crate) use suspects::{Crash, Fingerprint, RunEnd, Standing, SuspectMessage, Suspects, Target};
+#[cfg(test)]
+pub(crate) use suspects::{CrashInfo, Suspect};
--- a/src/counts/fold.rs
+++ b/src/counts/fold.rs
@@ -1,9 +1,8 @@
 //! The deterministic fold of the counts stream, and its reports.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::SystemTime;
 
-use super::period::CLOSE_DELAY;
+use super::period::{CLOSE_DELAY, WallTime};
 use super::sheet::Progress;
 use super::{Batch, CountKey, Counters, CountsBody, CountsChunk, Instance, Period};
 use crate::fold::Membership;
@@ -189,7 +188,7 @@
     }
 
     /// Returns the period to close, if one ended long enough ago and everything is written.
-    pub(crate) fn due_close(&self, wall: SystemTime) -> Option<Period> {
+    pub(crate) fn due_close(&self, wall: WallTime) -> Option<Period> {
         let period = Period::of(wall.checked_sub(CLOSE_DELAY)?).previous();
         self.can_close(period).then_some(period)
     }
@@ -358,6 +357,7 @@
     }
 
     /// Number of rows and instances, which determines the size of a snapshot.
+    #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
         let rows = self.rows.values().map(BTreeMap::len).sum::<usize>();
         rows + self.accounts.len() + self.ended.len() + self.totals.len() + self.uncertain.len()
--- a/src/counts/mod.rs
+++ b/src/counts/mod.rs
@@ -17,15 +17,15 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use crate::once::Instance;
-pub(crate) use fold::{
-    Account, CountsOutcome, CountsState, EndedBy, Ending, IncompleteSnapshot, Report, ReportRow, Uncertain, Why,
-};
+pub(crate) use crate::types::Instance;
+#[cfg(test)]
+pub(crate) use fold::{CountsOutcome, Uncertain, Why};
+pub(crate) use fold::{CountsState, Report};
 pub(crate) use holder::{HoldAnswer, Holder};
 pub(crate) use ledger::{Ledger, Release, Ticket};
 pub(crate) use period::Period;
 pub(crate) use records::{CountsBody, CountsChunk, CountsEnvelope, decode_counts, encode_counts};
-pub(crate) use sheet::{Batch, Entry};
+pub(crate) use sheet::Batch;
 
 value! {
     /// What a counter row is for.
--- a/src/counts/period.rs
+++ b/src/counts/period.rs
@@ -8,6 +8,9 @@
 
 use crate::types::BadNumber;
 
+/// Time of day, which callers pass in; months follow it and not the clock of the runtime.
+pub(super) type WallTime = SystemTime;
+
 /// Time after the end of a period when it may be closed.
 pub(crate) const CLOSE_DELAY: Duration = Duration::from_mins(10);
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -221,7 +221,7 @@
         Err(reason) => return Err(Failed::before_sending(reason, body)),
     };
     let upstream = slot.upstream().clone();
-    let Some(target) = find_target(call, &upstream) else {
+    let Some(target) = find_target(shared, call, &upstream) else {
         if let Some(pass) = &pass {
             shared.agreement.with_gate(|gate| gate.end(pass));
         }
@@ -302,11 +302,9 @@
         let upstream = &pool.upstreams[name];
         state.in_service(&upstream.host, &upstream.zone) && !shared.agreement.is_leaving(&upstream.host)
     };
-    let now = Instant::now();
-    let fresh = |name: &UpstreamName| !tried.contains(name) && serving(name);
-    let name = call.pool_name();
-    let picked = shared.policies.pick(name, pool, fresh, now);
-    let picked = picked.or_else(|| shared.policies.pick(name, pool, serving, now));
+    let picked = shared
+        .policies
+        .pick(call.pool_name(), pool, serving, tried, Instant::now());
     picked.ok_or(Reason::NoUpstream)
 }
 
@@ -350,11 +348,16 @@
     Some(Ok(owner))
 }
 
-fn find_target(call: &Call, name: &UpstreamName) -> Option<Target> {
+/// Finds where an attempt goes. Each host may open its share of the upstream's connections, which
+/// is no smaller than the slots of the upstreams in use today.
+fn find_target(shared: &Shared, call: &Call, name: &UpstreamName) -> Option<Target> {
+    let hosts = u32::try_from(shared.state().membership.members.len())
+        .unwrap_or(u32::MAX)
+        .max(1);
     let upstream = call.pool().upstreams.get(name)?;
     let limits = ConnectLimits {
         connect: CONNECT_LIMIT,
-        open: upstream.connections,
+        open: (upstream.connections / hosts).max(1),
         idle: IDLE_LIMIT,
     };
     let address: SocketAddr = upstream.address;
--- a/src/exchange/attempt.rs
+++ b/src/exchange/attempt.rs
@@ -114,7 +114,7 @@
     match timeout_at(deadline, connections.open(target.address, &target.limits)).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(ConnectError::Budget)) => connections.take_any().ok_or(Reason::QueueFull),
-        Ok(Err(ConnectError::Io(_))) => Err(Reason::ConnectFailed),
+        Ok(Err(ConnectError::Io)) => Err(Reason::ConnectFailed),
         Err(_) => Err(Reason::QueueTimeout),
     }
 }
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -43,7 +43,7 @@
 pub(crate) enum ConnectError {
     /// All connections that this host may open are in use.
     Budget,
-    Io(io::Error),
+    Io,
 }
 
 /// All connections of this host to upstreams.
@@ -163,6 +163,7 @@
     /// Notes the timeout of an exchange that began at `started` and tells whether to probe the
     /// upstream on a new connection.
     pub(crate) fn note_timeout(&self, id: ConnectionId, started: Instant, now: Instant) -> bool {
+        lock(&self.silence).silence.tick(now);
         lock(&self.silence)
             .silence
             .time_out(id, started, now)
@@ -194,17 +195,6 @@
         forgiven
     }
 
-    /// Closes all idle connections.
-    pub(crate) fn close_idle(&self) {
-        let idle = std::mem::take(&mut *lock(&self.idle));
-        drop(idle);
-    }
-
-    /// Number of open connections.
-    pub(crate) fn open_count(&self) -> u32 {
-        self.open.load(Ordering::Relaxed)
-    }
-
     fn take_slot(self: &Arc<Self>) -> OpenSlot {
         let mut table = lock(&self.silence);
         table.next += 1;
@@ -232,17 +222,15 @@
         }
         let slot = self.take_slot();
         let stream = timeout(limits.connect, TcpStream::connect(address)).await;
-        let stream = stream
-            .map_err(|_| ConnectError::Io(io::ErrorKind::TimedOut.into()))?
-            .map_err(ConnectError::Io)?;
-        set_options(&stream).map_err(ConnectError::Io)?;
+        let stream = stream.map_err(|_| ConnectError::Io)?.map_err(|_| ConnectError::Io)?;
+        set_options(&stream).map_err(|_| ConnectError::Io)?;
         let reset = Arc::new(AtomicBool::new(false));
         let io = TokioIo::new(ResettingStream {
             stream,
             reset: Arc::clone(&reset),
         });
         let handshake = Builder::new().max_buf_size(HEAD_MAX).handshake(io).await;
-        let (sender, driver) = handshake.map_err(|e| ConnectError::Io(io::Error::other(e)))?;
+        let (sender, driver) = handshake.map_err(|_| ConnectError::Io)?;
         tokio::spawn(driver);
         let now = Instant::now();
         Ok(Connection {
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::records::{BadRecord, Envelope, Record, ServiceTarget, decode_record};
+#[cfg(test)]
+use crate::records::{BadRecord, decode_record};
+use crate::records::{Envelope, Record, ServiceTarget};
 use crate::tables::{Tables, UnknownTarget, check_service_target};
 use crate::types::{HostName, Incarnation, Instance, Offset, PoolName, Zone, value};
 
@@ -20,7 +22,7 @@
 
 pub(crate) use ranges::{RangeError, RangeInfo, RangeTable};
 use snapshot::SnapshotKey;
-pub(crate) use snapshot::{OpenSnapshot, SnapshotChunk, SnapshotProgress, SnapshotReader};
+pub(crate) use snapshot::{SnapshotChunk, SnapshotProgress, SnapshotReader};
 
 value! {
     /// All that the hosts agree on.
@@ -140,6 +142,7 @@
     ///
     /// Tells why the text can't be decoded. The folded offset advances all the same, so that every
     /// host skips such a record alike.
+    #[cfg(test)]
     pub(crate) fn apply_text(&mut self, offset: Offset, text: &str) -> Result<Outcome, BadRecord> {
         let decoded = decode_record(text);
         if decoded.is_err() {
--- a/src/fold/snapshot.rs
+++ b/src/fold/snapshot.rs
@@ -4,8 +4,10 @@
 //! the history that led to it, so every host writes the same text for the same offset.
 
 use std::collections::{BTreeMap, BTreeSet};
+#[cfg(test)]
 use std::io;
 
+#[cfg(test)]
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{Outcome, Rejection, State};
@@ -110,6 +112,7 @@
     /// # Panics
     ///
     /// Never in practice: all maps of the state have keys that JSON accepts.
+    #[cfg(test)]
     pub(crate) fn digest(&self) -> u64 {
         let mut hasher = DigestWriter(Xxh3::new());
         serde_json::to_writer(&mut hasher, self).expect("the state is representable as JSON");
@@ -222,6 +225,7 @@
     }
 
     /// Offset of the newest complete snapshot.
+    #[cfg(test)]
     pub(crate) fn through(&self) -> Option<Offset> {
         self.newest.as_ref().map(|state| state.folded)
     }
@@ -256,8 +260,10 @@
     pieces
 }
 
+#[cfg(test)]
 struct DigestWriter(Xxh3);
 
+#[cfg(test)]
 impl io::Write for DigestWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.0.update(bytes);
--- a/src/host/agreement.rs
+++ b/src/host/agreement.rs
@@ -16,7 +16,7 @@
 use super::{Shared, reader};
 use crate::fold::State;
 use crate::log::Log;
-use crate::membership::{Election, Identity, Lease, Liveness, Report, Site};
+use crate::membership::{Election, Instance, Lease, Liveness, Report, Site};
 use crate::ownership::{Gate, Grant, Granter, Health, LossDetector, MoveAction, Mover, PassId, Revoke};
 use crate::peer::{Heartbeat, HeartbeatAnswer};
 use crate::records::{Envelope, Record};
@@ -36,7 +36,7 @@
 
 #[derive(Debug)]
 struct Tables {
-    me: Identity,
+    me: Instance,
     lease: Lease,
     liveness: Liveness,
     election: Election,
@@ -73,7 +73,7 @@
 }
 
 impl Agreement {
-    pub(crate) fn new(settings: &Settings, me: Identity, peers: SocketAddr, now: Instant) -> Self {
+    pub(crate) fn new(settings: &Settings, me: Instance, peers: SocketAddr, now: Instant) -> Self {
         let timing = &settings.timing;
         let site = Site {
             zone: settings.zone.clone(),
@@ -297,6 +297,7 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut folded = shared.folded.subscribe();
+    let mut tables = Offset(0);
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
@@ -305,6 +306,13 @@
         let now = Instant::now();
         let round = {
             let state = shared.state();
+            if tables != state.tables_version.offset {
+                tables = state.tables_version.offset;
+                let pools = &state.tables.pools;
+                shared
+                    .connector
+                    .retain(|name| pools.values().any(|pool| pool.upstreams.contains_key(name)));
+            }
             shared.peers.set_members(&state.membership);
             let cold = shared.credits.cold_limits();
             shared.agreement.lock().register_votes = shared.registry.is_voting();
--- a/src/host/counting.rs
+++ b/src/host/counting.rs
@@ -1,5 +1,6 @@
 //! Counts requests, keeps copies at peers, and writes the counts stream.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime};
 
@@ -13,7 +14,7 @@
     Ticket, decode_counts, encode_counts,
 };
 use crate::fold::State;
-use crate::log::{COUNTS_STREAM, Log, RawRecord};
+use crate::log::{COUNTS_STREAM, Log, RawRecord, ReadError};
 use crate::types::{Caller, Instance, Offset, RecordId, RouteName, Verdict, Zone};
 
 /// Longest time that changes wait for others in the same batch.
@@ -41,6 +42,10 @@
     ledger: Ledger,
     holder: Holder,
     counts: CountsState,
+    /// Offset of the newest state of which the log holds a snapshot.
+    snapshot: Offset,
+    /// Last closed period whose rows were dropped.
+    dropped: Period,
     membership: Offset,
     waiting: Vec<(Ticket, oneshot::Sender<()>)>,
 }
@@ -54,6 +59,8 @@
             ledger: Ledger::new(me.clone(), zone, Period::MIN, SystemTime::now(), now),
             holder: Holder::new(me.clone()),
             counts: CountsState::default(),
+            snapshot: Offset(0),
+            dropped: Period::MIN,
             membership: Offset(0),
             waiting: Vec::new(),
         };
@@ -121,6 +128,16 @@
         self.holder.drop_stale(now);
     }
 
+    /// Drops the rows of periods that were closed since the last call.
+    fn drop_closed(&mut self) {
+        let closed = self.counts.closed();
+        if closed > self.dropped {
+            self.dropped = closed;
+            self.ledger.drop_periods(closed);
+            self.holder.drop_periods(closed);
+        }
+    }
+
     /// Releases the answers whose counts are safe.
     fn release(&mut self, now: Instant) {
         let ledger = &mut self.ledger;
@@ -170,10 +187,16 @@
         match log.read(COUNTS_STREAM, Offset(folded.0 + 1), READ_WAIT).await {
             Ok(batch) => {
                 let mut tables = shared.counting.lock();
-                batch
-                    .records
-                    .iter()
-                    .for_each(|record| fold_record(&shared, &mut tables.counts, record));
+                for record in &batch.records {
+                    fold_record(&shared, &mut tables, record);
+                }
+                tables.drop_closed();
+            }
+            Err(ReadError::Expired(oldest)) => {
+                if !restore_snapshot(&shared, &log, oldest).await {
+                    warn!(shared.log, "no complete snapshot of the counts"; "oldest" => oldest.0);
+                    sleep(READ_RETRY).await;
+                }
             }
             Err(error) => {
                 debug!(shared.log, "counts read failed"; "error" => error.to_string());
@@ -183,10 +206,49 @@
     }
 }
 
-fn fold_record(shared: &Shared, counts: &mut CountsState, record: &RawRecord) {
+/// Replaces the folded counts by the newest complete snapshot in the log.
+///
+/// Returns whether a newer state was found.
+async fn restore_snapshot(shared: &Shared, log: &impl Log, oldest: Offset) -> bool {
+    let mut snapshots: BTreeMap<Offset, Vec<CountsBody>> = BTreeMap::new();
+    let mut from = oldest;
+    loop {
+        let Ok(batch) = log.read(COUNTS_STREAM, from, Duration::ZERO).await else {
+            return false;
+        };
+        let Some(last) = batch.records.last() else { break };
+        from = Offset(last.offset.0 + 1);
+        for record in &batch.records {
+            if let Ok(CountsEnvelope { body, .. }) = decode_counts(&record.data)
+                && let CountsBody::Snapshot { through, .. } = body
+            {
+                snapshots.entry(through).or_default().push(body);
+            }
+        }
+    }
+    // The records after a snapshot must still be there.
+    let mut usable = snapshots
+        .into_iter()
+        .rev()
+        .filter(|(through, _)| through.0 + 1 >= oldest.0);
+    let newest = usable.find_map(|(_, parts)| CountsState::restore(&parts).ok());
+    let mut tables = shared.counting.lock();
+    let newer = newest.filter(|state| state.folded > tables.counts.folded);
+    let found = newer.is_some();
+    if let Some(state) = newer {
+        tables.counts = state;
+    }
+    found
+}
+
+fn fold_record(shared: &Shared, tables: &mut Tables, record: &RawRecord) {
+    let counts = &mut tables.counts;
     match decode_counts(&record.data) {
         Ok(envelope) => {
             counts.apply(record.offset, &envelope.body);
+            if let CountsBody::Snapshot { through, .. } = envelope.body {
+                tables.snapshot = tables.snapshot.max(through);
+            }
         }
         Err(error) => {
             counts.skip(record.offset);
@@ -216,6 +278,7 @@
         write_endings(&shared, &log).await;
         if shared.leads() {
             close_counts(&shared, &log, &mut orphans).await;
+            write_snapshot(&shared, &log).await;
         }
     }
 }
@@ -285,6 +348,23 @@
     }
 }
 
+/// Writes the folded counts again before the log drops the records that they come from.
+async fn write_snapshot(shared: &Shared, log: &impl Log) {
+    let retention = shared.settings.platform.retention_records;
+    let parts = {
+        let tables = shared.counting.lock();
+        if tables.counts.folded.0 - tables.snapshot.0 < retention / 2 {
+            return;
+        }
+        tables.counts.take_snapshot()
+    };
+    for part in parts {
+        if !append(shared, log, part).await {
+            return;
+        }
+    }
+}
+
 /// Writes the last counters of this host before a planned stop ends.
 pub(super) async fn end_counts(shared: &Shared, log: &impl Log) -> bool {
     let records = shared.counting.lock().ledger.end(SystemTime::now());
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -9,8 +9,8 @@
 
 use super::Shared;
 use crate::admission::{
-    Admission, Broker, Capacity, Demand, HomeTerm, Instance, Lend, Outcome, Permit, PoolWarmth, Purse, Report, Sample,
-    Sign, Step, Ticket, home_host,
+    Admission, Broker, Capacity, CreditHolder, Demand, HomeTerm, Instance, Lend, Outcome, Permit, PoolWarmth, Report,
+    Sample, Sign, Step, Ticket, home_host,
 };
 use crate::choice::Crash;
 use crate::fold::State;
@@ -34,7 +34,7 @@
 
 #[derive(Debug, Default)]
 struct CreditTables {
-    purses: BTreeMap<UpstreamName, PurseRow>,
+    holders: BTreeMap<UpstreamName, HolderRow>,
     brokers: BTreeMap<UpstreamName, Broker>,
     candidacies: BTreeMap<UpstreamName, Candidacy>,
     /// Announced terms that never got a broker. A host that has heard one follows it until it hears
@@ -56,12 +56,12 @@
 }
 
 #[derive(Debug)]
-struct PurseRow {
-    purse: Purse,
+struct HolderRow {
+    holder: CreditHolder,
     waiting: BTreeMap<Ticket, oneshot::Sender<Result<Permit, Reason>>>,
 }
 
-/// A message between a purse and a broker.
+/// A message between a holder and a broker.
 #[derive(Debug)]
 enum CreditMessage {
     Report(Report),
@@ -226,7 +226,7 @@
     fn admit(&self, upstream: &UpstreamName, demand: &Demand, now: Instant) -> (Entry, Outbox) {
         let mut tables = self.lock();
         let row = tables.row(upstream, self);
-        let (admission, steps) = row.purse.admit(demand, now);
+        let (admission, steps) = row.holder.admit(demand, now);
         let entry = match admission {
             Admission::Start(permit) => Entry::Started(permit),
             Admission::Refuse(reason) => Entry::Refused(reason),
@@ -245,29 +245,29 @@
         if row.waiting.remove(&ticket).is_none() {
             return Outbox::new();
         }
-        let steps = row.purse.cancel(ticket, now);
+        let steps = row.holder.cancel(ticket, now);
         tables.carry_out(upstream, steps, self, now)
     }
 
     fn set_isolate(&self, upstream: &UpstreamName, isolate: bool, now: Instant) -> Outbox {
         let mut tables = self.lock();
-        let steps = tables.row(upstream, self).purse.set_isolate(isolate, now);
+        let steps = tables.row(upstream, self).holder.set_isolate(isolate, now);
         tables.carry_out(upstream, steps, self, now)
     }
 
     fn is_idle_and_isolated(&self, upstream: &UpstreamName, now: Instant) -> bool {
         let mut tables = self.lock();
-        let purse = &tables.row(upstream, self).purse;
-        purse.is_isolated(now) && purse.running() == 0
+        let holder = &tables.row(upstream, self).holder;
+        holder.is_isolated(now) && holder.running() == 0
     }
 
     fn release(&self, upstream: &UpstreamName, permit: Permit, sample: Sample, now: Instant) -> Outbox {
         let mut tables = self.lock();
-        let steps = tables.row(upstream, self).purse.release(permit, sample, now);
+        let steps = tables.row(upstream, self).holder.release(permit, sample, now);
         tables.carry_out(upstream, steps, self, now)
     }
 
-    /// Takes a report of a purse at another host and gives the lends that answer it.
+    /// Takes a report of a holder at another host and gives the lends that answer it.
     fn hear_report(&self, report: Report, now: Instant) -> (Vec<Lend>, Outbox) {
         let reporter = report.from.clone();
         let mut tables = self.lock();
@@ -344,9 +344,9 @@
     pub(crate) fn cold_limits(&self) -> BTreeMap<UpstreamName, u32> {
         let tables = self.lock();
         let lends = tables
-            .purses
+            .holders
             .iter()
-            .filter_map(|(name, row)| Some((name, row.purse.last_lend()?)));
+            .filter_map(|(name, row)| Some((name, row.holder.last_lend()?)));
         lends
             .filter(|(_, lend)| lend.cold)
             .map(|(name, lend)| (name.clone(), lend.limit))
@@ -357,9 +357,9 @@
     pub(crate) fn ejections(&self) -> BTreeMap<UpstreamName, Duration> {
         let tables = self.lock();
         let lends = tables
-            .purses
+            .holders
             .iter()
-            .filter_map(|(name, row)| Some((name, row.purse.last_lend()?)));
+            .filter_map(|(name, row)| Some((name, row.holder.last_lend()?)));
         let ejected = lends.filter(|(_, lend)| !lend.ejected.is_zero());
         ejected.map(|(name, lend)| (name.clone(), lend.ejected)).collect()
     }
@@ -367,8 +367,8 @@
     /// Share of the slots of upstreams in use, if all hosts use as many as this one.
     fn utilisation<'a>(&self, upstreams: impl Iterator<Item = &'a UpstreamName>, hosts: usize) -> f64 {
         let tables = self.lock();
-        let rows = upstreams.filter_map(|name| tables.purses.get(name));
-        let lent = rows.filter_map(|row| Some((row.purse.running(), row.purse.last_lend()?.limit)));
+        let rows = upstreams.filter_map(|name| tables.holders.get(name));
+        let lent = rows.filter_map(|row| Some((row.holder.running(), row.holder.last_lend()?.limit)));
         let (running, limit) = lent.fold((0, 0), |(r, l), (running, limit)| (r + running, l + limit));
         let hosts = f64::from(u32::try_from(hosts).unwrap_or(u32::MAX));
         if limit == 0 {
@@ -381,7 +381,7 @@
     /// Tells the other hosts, through the upstream's broker, that it is ejected.
     fn set_ejected(&self, upstream: &UpstreamName, until: Instant, now: Instant) -> Outbox {
         let mut tables = self.lock();
-        let steps = tables.row(upstream, self).purse.set_ejected(until, now);
+        let steps = tables.row(upstream, self).holder.set_ejected(until, now);
         tables.carry_out(upstream, steps, self, now)
     }
 
@@ -404,7 +404,7 @@
             if tables.brokers.get(&upstream).is_some_and(|b| *b.term() < term) {
                 tables.brokers.remove(&upstream);
             }
-            let steps = tables.row(&upstream, self).purse.set_home(term, now);
+            let steps = tables.row(&upstream, self).holder.set_home(term, now);
             outbox.extend(tables.carry_out(&upstream, steps, self, now));
         }
         outbox
@@ -431,11 +431,11 @@
         let kept = |name: &UpstreamName| state.tables.pools.values().any(|p| p.upstreams.contains_key(name));
         tables.brokers.retain(|name, _| kept(name));
         tables
-            .purses
-            .retain(|name, row| kept(name) || row.purse.running() > 0 || !row.waiting.is_empty());
-        let names: Vec<UpstreamName> = tables.purses.keys().cloned().collect();
+            .holders
+            .retain(|name, row| kept(name) || row.holder.running() > 0 || !row.waiting.is_empty());
+        let names: Vec<UpstreamName> = tables.holders.keys().cloned().collect();
         for name in names {
-            let steps = tables.row(&name, self).purse.tick(now);
+            let steps = tables.row(&name, self).holder.tick(now);
             outbox.extend(tables.carry_out(&name, steps, self, now));
             let lends = tables.brokers.get_mut(&name).map(|b| b.tick(now)).unwrap_or_default();
             let queue = lends.into_iter().map(CreditMessage::Lend).collect();
@@ -446,14 +446,14 @@
 }
 
 impl CreditTables {
-    fn row(&mut self, upstream: &UpstreamName, credits: &Credits) -> &mut PurseRow {
-        self.purses.entry(upstream.clone()).or_insert_with(|| PurseRow {
-            purse: Purse::new(upstream.clone(), credits.me.clone(), credits.queue_max),
+    fn row(&mut self, upstream: &UpstreamName, credits: &Credits) -> &mut HolderRow {
+        self.holders.entry(upstream.clone()).or_insert_with(|| HolderRow {
+            holder: CreditHolder::new(upstream.clone(), credits.me.clone(), credits.queue_max),
             waiting: BTreeMap::new(),
         })
     }
 
-    /// Carries out the steps of a purse; messages between its two sides on this host stay here.
+    /// Carries out the steps of a holder; messages between its two sides on this host stay here.
     fn carry_out(&mut self, upstream: &UpstreamName, steps: Vec<Step>, credits: &Credits, now: Instant) -> Outbox {
         let mut queue = VecDeque::new();
         self.take_steps(upstream, steps, &mut queue, credits, now);
@@ -486,7 +486,7 @@
                             connection_age: Duration::ZERO,
                             incarnation: None,
                         };
-                        steps.extend(row.purse.release(permit, sample, now));
+                        steps.extend(row.holder.release(permit, sample, now));
                     }
                 }
                 Step::Refuse(ticket, reason) => {
@@ -510,7 +510,7 @@
                 }
                 CreditMessage::Lend(lend) if lend.to.host == credits.me.host => {
                     let upstream = lend.upstream.clone();
-                    let steps = self.row(&upstream, credits).purse.hear(&lend, now);
+                    let steps = self.row(&upstream, credits).holder.hear(&lend, now);
                     self.take_steps(&upstream, steps, &mut queue, credits, now);
                 }
                 other => outbox.push(other),
@@ -558,7 +558,7 @@
         });
         let broker = Broker::new(name.clone(), term.clone(), capacity, instances, now, now);
         self.brokers.insert(name.clone(), broker);
-        let steps = self.row(name, credits).purse.set_home(term, now);
+        let steps = self.row(name, credits).holder.set_home(term, now);
         self.carry_out(name, steps, credits, now)
     }
 
@@ -567,7 +567,7 @@
         if let Some(candidacy) = self.candidacies.remove(name) {
             self.withdrawn.insert(name.clone(), candidacy.term);
         }
-        let known = self.purses.get(name).and_then(|row| row.purse.term());
+        let known = self.holders.get(name).and_then(|row| row.holder.term());
         if known > self.withdrawn.get(name) {
             self.withdrawn.remove(name);
         }
@@ -582,7 +582,7 @@
         lease: Duration,
         now: Instant,
     ) -> Option<HomeTerm> {
-        let known = self.row(name, credits).purse.term().cloned();
+        let known = self.row(name, credits).holder.term().cloned();
         let overtaken = |c: &Candidacy| known.as_ref().is_some_and(|known| *known >= c.term);
         if self.candidacies.get(name).is_none_or(overtaken) {
             let round = known.map_or(0, |term| term.round) + 1;
@@ -610,7 +610,7 @@
     fn share_warmth<'a>(&mut self, upstreams: impl Iterator<Item = &'a UpstreamName> + Clone) {
         let rows = upstreams
             .clone()
-            .filter_map(|name| self.purses.get(name)?.purse.last_lend());
+            .filter_map(|name| self.holders.get(name)?.holder.last_lend());
         let cold = rows.filter(|lend| lend.cold).count();
         let total = upstreams.clone().count();
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
--- a/src/host/policies.rs
+++ b/src/host/policies.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::admission::Outcome;
-use crate::choice::{Denial, Ejection, Ejector, Failure, HedgeBudget, HedgeQuestion, Load, RetryBudget, pick_upstream};
+use crate::choice::{Denial, Ejection, Ejector, Failure, HedgeBudget, HedgeQuestion, Load, RetryBudget, pick_again};
 use crate::tables::Pool;
 use crate::types::{Incarnation, PoolName, UpstreamName};
 
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Chooses an upstream of a shared pool.
+    /// Chooses an upstream of a shared pool; one that has failed only if no other is usable.
     ///
     /// Where all upstreams that `usable` admits are ejected, an ejected one is chosen: a doubtful
     /// upstream is better than a refusal.
@@ -54,6 +54,7 @@
         name: &PoolName,
         pool: &Pool,
         usable: impl Fn(&UpstreamName) -> bool,
+        failed: &BTreeSet<UpstreamName>,
         now: Instant,
     ) -> Option<UpstreamName> {
         let mut pools = lock(&self.pools);
@@ -65,8 +66,12 @@
         let refusing = lock(&self.refusing);
         let good = |i: usize| usable(&names[i]) && !ejector.is_ejected(&names[i]) && !refusing.contains(&names[i]);
         let rng = &mut rand::rng();
-        let found =
-            pick_upstream(loads, good, now, rng).or_else(|| pick_upstream(loads, |i| usable(&names[i]), now, rng));
+        let failed: Vec<usize> = failed
+            .iter()
+            .filter_map(|name| names.binary_search(name).ok())
+            .collect();
+        let found = pick_again(loads, good, &failed, now, rng);
+        let found = found.or_else(|| pick_again(loads, |i| usable(&names[i]), &failed, now, rng));
         found.map(|i| names[i].clone())
     }
 
--- a/src/host/registry.rs
+++ b/src/host/registry.rs
@@ -71,16 +71,6 @@
         self.lock().is_voting()
     }
 
-    /// Number of keys held.
-    pub(crate) fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Lets this host vote although the keys of a lost majority are forgotten.
-    pub(crate) fn accept_loss(&self) {
-        self.lock().accept_loss();
-    }
-
     fn follow_members(&self, membership: &Membership, now: Instant) {
         let mut register = self.lock();
         register.set_members(membership, now);
@@ -161,6 +151,9 @@
             return;
         }
         claim.set_members(&shared.state().membership);
+        if decided.as_ref().is_some_and(oneshot::Sender::is_closed) {
+            claim.give_up();
+        }
         for action in claim.tick(now) {
             send_action(&shared, action, &replies);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,9 +13,6 @@
 //!
 //! `docs/design.md` gives the reasons.
 
-// Decision modules are complete before every part of them is wired into the process.
-#![allow(dead_code, unused_imports)]
-
 mod types;
 
 mod settings;
--- a/src/measure/placement.rs
+++ b/src/measure/placement.rs
@@ -6,7 +6,6 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::time::Instant;
 
 use super::baselines::Baseline;
 use super::pool::PoolModel;
--- a/src/measure/policy.rs
+++ b/src/measure/policy.rs
@@ -19,8 +19,8 @@
 use tokio::time::Instant;
 
 use crate::admission::{
-    Admission, Broker, Capacity, Demand, HomeTerm, Instance, Lend, Outcome, Permit, Purse, Report, Sample, Sign, Step,
-    Ticket, home_host,
+    Admission, Broker, Capacity, CreditHolder, Demand, HomeTerm, Instance, Lend, Outcome, Permit, Report, Sample, Sign,
+    Step, Ticket, home_host,
 };
 use crate::choice::{Ejection, Ejector, Failure, HedgeBudget, HedgeQuestion, Load, RetryBudget, pick_upstream};
 use crate::tables::Priority;
@@ -161,7 +161,7 @@
 
 struct Node {
     alive: bool,
-    purses: Vec<Purse>,
+    holders: Vec<CreditHolder>,
     /// Waiting attempts of the static share, and how many run.
     shares: Vec<(VecDeque<usize>, u32)>,
     loads: Vec<Load>,
@@ -433,7 +433,7 @@
                 self.nodes[host].shares[upstream].0.push_back(attempt);
                 self.serve_share(host, upstream);
             }
-            Limit::Credits => self.ask_purse(attempt),
+            Limit::Credits => self.ask_holder(attempt),
         }
     }
 
@@ -462,7 +462,7 @@
         chosen
     }
 
-    fn ask_purse(&mut self, attempt: usize) {
+    fn ask_holder(&mut self, attempt: usize) {
         let Attempt {
             request,
             host,
@@ -474,7 +474,7 @@
             caller: name_caller(),
             deadline: self.requests[request].arrived + DEADLINE,
         };
-        let (admission, steps) = self.nodes[host].purses[upstream].admit(&demand, self.now);
+        let (admission, steps) = self.nodes[host].holders[upstream].admit(&demand, self.now);
         match admission {
             Admission::Start(permit) => self.send(attempt, Some(permit)),
             Admission::Wait(ticket) => {
@@ -526,7 +526,7 @@
         if self.setup.eject {
             self.nodes[host].ejector.follow(&lend.upstream, lend.ejected, self.now);
         }
-        let steps = self.nodes[host].purses[upstream].hear(lend, self.now);
+        let steps = self.nodes[host].holders[upstream].hear(lend, self.now);
         self.run_steps(host, upstream, steps);
     }
 
@@ -672,7 +672,7 @@
         self.abandon(request);
     }
 
-    /// Ends an attempt that the purse refused, and tries another upstream of a shared pool.
+    /// Ends an attempt that the holder refused, and tries another upstream of a shared pool.
     fn turn_away(&mut self, attempt: usize) {
         let Attempt { request, upstream, .. } = self.attempts[attempt];
         self.close(attempt);
@@ -740,7 +740,7 @@
                 Phase::Waiting(ticket) => {
                     let ticket = *ticket;
                     self.nodes[host].tickets.remove(&(upstream, ticket));
-                    let steps = self.nodes[host].purses[upstream].cancel(ticket, self.now);
+                    let steps = self.nodes[host].holders[upstream].cancel(ticket, self.now);
                     self.close(attempt);
                     self.run_steps(host, upstream, steps);
                 }
@@ -779,7 +779,7 @@
                 connection_age: Duration::ZERO,
                 incarnation: self.attempts[attempt].incarnation.filter(|_| ramped),
             };
-            let steps = self.nodes[host].purses[upstream].release(permit, sample, self.now);
+            let steps = self.nodes[host].holders[upstream].release(permit, sample, self.now);
             self.run_steps(host, upstream, steps);
         }
     }
@@ -795,7 +795,7 @@
             }
             if self.setup.limit == Limit::Credits {
                 for upstream in 0..self.servers.len() {
-                    let steps = self.nodes[host].purses[upstream].tick(self.now);
+                    let steps = self.nodes[host].holders[upstream].tick(self.now);
                     self.run_steps(host, upstream, steps);
                 }
             }
@@ -822,7 +822,7 @@
         };
         match (change, self.nodes[host].ejector.ejected_until(name)) {
             (Ejection::Eject(_), Some(until)) => {
-                let steps = self.nodes[host].purses[upstream].set_ejected(until, self.now);
+                let steps = self.nodes[host].holders[upstream].set_ejected(until, self.now);
                 self.run_steps(host, upstream, steps);
             }
             (Ejection::Eject(_), None) => {}
@@ -870,7 +870,7 @@
             };
             self.brokers[upstream] = Broker::new(name, term.clone(), capacity, members.clone(), self.now, self.now);
             for other in (0..self.nodes.len()).filter(|&i| i != host) {
-                let steps = self.nodes[other].purses[upstream].set_home(term.clone(), self.now);
+                let steps = self.nodes[other].holders[upstream].set_home(term.clone(), self.now);
                 self.run_steps(other, upstream, steps);
             }
         }
@@ -903,16 +903,16 @@
 
 impl Node {
     fn new(name: &HostName, terms: &[HomeTerm], now: Instant) -> Self {
-        let purses = terms.iter().enumerate().map(|(i, term)| {
-            let mut purse = Purse::new(name_upstream(i), make_instance(name), 256);
-            purse.set_home(term.clone(), now);
-            purse
+        let holders = terms.iter().enumerate().map(|(i, term)| {
+            let mut holder = CreditHolder::new(name_upstream(i), make_instance(name), 256);
+            holder.set_home(term.clone(), now);
+            holder
         });
         let mut ejector = Ejector::default();
         ejector.set_upstreams((0..terms.len()).map(name_upstream));
         Self {
             alive: true,
-            purses: purses.collect(),
+            holders: holders.collect(),
             shares: vec![(VecDeque::new(), 0); terms.len()],
             loads: vec![Load::default(); terms.len()],
             ejector,
--- a/src/measure/slopes.rs
+++ b/src/measure/slopes.rs
@@ -13,8 +13,8 @@
 use super::placement::{spread, to_f64};
 use super::pool::PoolModel;
 use crate::admission::{
-    Admission, Broker, Capacity, Demand, HomeTerm, Lend, Outcome as End, Purse, Report as CreditReport, Sample, Step,
-    home_host,
+    Admission, Broker, Capacity, CreditHolder, Demand, HomeTerm, Lend, Outcome as End, Report as CreditReport, Sample,
+    Step, home_host,
 };
 use crate::choice::{LatencyAverage, Load, pick_upstream};
 use crate::counts::{Ledger, Period};
@@ -506,10 +506,10 @@
 
 const REPORTS: usize = 2_000;
 
-/// One upstream's broker and the purses of all hosts; every host always has requests.
+/// One upstream's broker and the holders of all hosts; every host always has requests.
 struct CreditWorld {
     broker: Broker,
-    purses: Vec<Purse>,
+    holders: Vec<CreditHolder>,
     now: tokio::time::Instant,
 }
 
@@ -527,14 +527,14 @@
         };
         let mut broker = Broker::new(upstream(0), term.clone(), capacity, [], now, now);
         broker.tick(now);
-        let purse = |i| {
-            let mut purse = Purse::new(upstream(0), instance(i), 1 << 20);
-            purse.set_home(term.clone(), now);
-            purse
+        let holder = |i| {
+            let mut holder = CreditHolder::new(upstream(0), instance(i), 1 << 20);
+            holder.set_home(term.clone(), now);
+            holder
         };
         Self {
             broker,
-            purses: (0..hosts).map(purse).collect(),
+            holders: (0..hosts).map(holder).collect(),
             now,
         }
     }
@@ -553,8 +553,8 @@
     }
 
     fn hear(&mut self, lend: &Lend) -> Vec<Step> {
-        let purse = self.purses.iter_mut().find(|p| *p.owner() == lend.to);
-        purse.expect("a purse per host").hear(lend, self.now)
+        let holder = self.holders.iter_mut().find(|p| *p.owner() == lend.to);
+        holder.expect("a holder per host").hear(lend, self.now)
     }
 }
 
@@ -581,7 +581,7 @@
     for index in 0..hosts {
         for i in 0..callers {
             let demand = demand(i, world.now);
-            let (_, steps) = world.purses[index].admit(&demand, world.now);
+            let (_, steps) = world.holders[index].admit(&demand, world.now);
             world.deliver(steps);
         }
     }
@@ -589,7 +589,7 @@
     let mut heard = 0;
     for i in 0..REPORTS {
         world.now += Duration::from_millis(100).div_f64(to_f64(hosts));
-        let mut reports = sent(world.purses[i % hosts].tick(world.now));
+        let mut reports = sent(world.holders[i % hosts].tick(world.now));
         while let Some(report) = reports.pop() {
             let start = Instant::now();
             let lends = world.broker.hear(&report, world.now);
@@ -611,29 +611,29 @@
     }
 }
 
-/// Time of a purse to admit and release one request while `running` others run.
-fn purse_cost(running: usize) -> f64 {
+/// Time of a holder to admit and release one request while `running` others run.
+fn holder_cost(running: usize) -> f64 {
     let mut world = CreditWorld::new(1, running + 1);
     let mut permits = Vec::new();
     for i in 0..=running {
         let demand = demand(i, world.now);
-        let (admission, steps) = world.purses[0].admit(&demand, world.now);
+        let (admission, steps) = world.holders[0].admit(&demand, world.now);
         if let Admission::Start(permit) = admission {
             permits.push(permit);
         }
         world.deliver(steps);
     }
     let request = demand(0, world.now);
-    assert_eq!(world.purses[0].running() as usize, running + 1, "all requests run");
+    assert_eq!(world.holders[0].running() as usize, running + 1, "all requests run");
     let mut spent = Duration::ZERO;
     for _ in 0..REPORTS {
         world.now += Duration::from_micros(100);
         let start = Instant::now();
         let mut steps = match permits.pop() {
-            Some(permit) => world.purses[0].release(permit, answered(), world.now),
+            Some(permit) => world.holders[0].release(permit, answered(), world.now),
             None => Vec::new(),
         };
-        let (admission, more) = world.purses[0].admit(&request, world.now);
+        let (admission, more) = world.holders[0].admit(&request, world.now);
         spent += start.elapsed();
         steps.extend(more);
         if let Admission::Start(permit) = admission {
@@ -664,7 +664,7 @@
             "callers",
             vary(&[1, 10, 100], |n| broker_cost(9, n)),
         ),
-        slope("purse, per request", "in flight", vary(&[4, 64, 1_000], purse_cost)),
+        slope("holder, per request", "in flight", vary(&[4, 64, 1_000], holder_cost)),
     ]
 }
 
--- a/src/membership/election.rs
+++ b/src/membership/election.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Identity, Liveness, Pulse, Report, majority, outlast};
+use super::{Instance, Liveness, PauseDetector, Report, majority, outlast};
 use crate::fold::State;
 use crate::records::Record;
 use crate::settings::Timing;
@@ -40,10 +40,10 @@
 /// Decides which records about membership and leadership this host appends.
 #[derive(Debug)]
 pub(crate) struct Election {
-    me: Identity,
+    me: Instance,
     site: Site,
     lease: Duration,
-    pulse: Pulse,
+    pauses: PauseDetector,
     leader_heard: Instant,
     term: Offset,
     log_read: Option<Instant>,
@@ -67,12 +67,12 @@
 }
 
 impl Election {
-    pub(crate) fn new(me: Identity, site: Site, timing: &Timing, now: Instant) -> Self {
+    pub(crate) fn new(me: Instance, site: Site, timing: &Timing, now: Instant) -> Self {
         Self {
             me,
             site,
             lease: timing.routing_lease.0,
-            pulse: Pulse::new(now),
+            pauses: PauseDetector::new(now),
             leader_heard: now,
             term: Offset(0),
             log_read: None,
@@ -106,7 +106,7 @@
 
     /// Gives the record to append now, if any.
     pub(crate) fn tick(&mut self, now: Instant, state: &State, liveness: &Liveness) -> Option<Record> {
-        let stood_still = self.pulse.beat(now);
+        let stood_still = self.pauses.tick(now);
         if stood_still || self.term != state.leader.term {
             self.leader_heard = now;
             self.term = state.leader.term;
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::{Identity, majority, outlast};
+use super::{Instance, majority, outlast};
 use crate::fold::State;
 use crate::settings::Timing;
 use crate::types::{HostName, Incarnation, Offset};
@@ -16,7 +16,7 @@
 /// majority of the members has folded is therefore known to every routing host one lease later.
 #[derive(Debug)]
 pub(crate) struct Lease {
-    me: Identity,
+    me: Instance,
     length: Duration,
     started: Instant,
     /// Instant before the newest log read that ended at the folded tail.
@@ -31,7 +31,7 @@
 }
 
 impl Lease {
-    pub(crate) fn new(me: Identity, timing: &Timing, started: Instant) -> Self {
+    pub(crate) fn new(me: Instance, timing: &Timing, started: Instant) -> Self {
         Self {
             me,
             length: timing.routing_lease.0,
@@ -51,7 +51,7 @@
     }
 
     /// Notes an answer to a question sent at `asked` that confirmed this host's folded offset.
-    pub(crate) fn note_confirmed(&mut self, asked: Instant, from: &Identity) {
+    pub(crate) fn note_confirmed(&mut self, asked: Instant, from: &Instance) {
         let newer = |c: &Confirmation| c.incarnation == from.incarnation && c.asked >= asked;
         if self.answers.get(&from.host).is_some_and(newer) {
             return;
--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -5,15 +5,15 @@
 
 use tokio::time::Instant;
 
-use super::{Identity, Pulse, Report, majority};
+use super::{Instance, PauseDetector, Report, majority};
 use crate::fold::State;
 use crate::types::{HostName, Incarnation, Offset};
 
 /// Reports of the other members, one row per member.
 #[derive(Debug)]
 pub(crate) struct Liveness {
-    me: Identity,
-    pulse: Pulse,
+    me: Instance,
+    pauses: PauseDetector,
     peers: BTreeMap<HostName, Peer>,
 }
 
@@ -31,17 +31,17 @@
 }
 
 impl Liveness {
-    pub(crate) fn new(me: Identity, now: Instant) -> Self {
+    pub(crate) fn new(me: Instance, now: Instant) -> Self {
         Self {
             me,
-            pulse: Pulse::new(now),
+            pauses: PauseDetector::new(now),
             peers: BTreeMap::new(),
         }
     }
 
     /// Follows the folded membership and notices pauses of this process.
     pub(crate) fn tick(&mut self, now: Instant, state: &State) {
-        self.pulse.beat(now);
+        self.pauses.tick(now);
         let members = &state.membership.members;
         self.peers.retain(|host, _| members.contains_key(host));
         for (host, member) in members.iter().filter(|(host, _)| **host != self.me.host) {
@@ -79,7 +79,7 @@
         let Some(peer) = self.peers.get(host) else {
             return Duration::ZERO;
         };
-        let from = peer.heard.unwrap_or(peer.since).max(self.pulse.resumed());
+        let from = peer.heard.unwrap_or(peer.since).max(self.pauses.resumed());
         now.saturating_duration_since(from)
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::fold::{Membership, State};
-use crate::types::{HostName, Incarnation, Offset, value};
+use crate::types::{Offset, value};
 
 mod election;
 mod lease;
@@ -17,7 +17,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use crate::types::Instance as Identity;
+pub(crate) use crate::types::Instance;
 
 pub(crate) use election::{APPEND_RETRY, Election, Site};
 pub(crate) use lease::Lease;
@@ -34,7 +34,7 @@
     /// What a host tells its peers in each question and each answer.
     #[derive(Eq)]
     pub(crate) struct Report {
-        pub(crate) sender: Identity,
+        pub(crate) sender: Instance,
         /// Offset up to which the sender has folded.
         pub(crate) folded: Offset,
         /// Term that the sender leads and is able to act for; see [`Election::acting_term`].
@@ -45,7 +45,7 @@
     }
 }
 
-impl Identity {
+impl Instance {
     /// Tells whether this run of the host is a member.
     pub(crate) fn is_member(&self, membership: &Membership) -> bool {
         let member = membership.members.get(&self.host);
@@ -74,12 +74,12 @@
 
 /// Finds out that the process stood still.
 #[derive(Debug)]
-pub(crate) struct Pulse {
+pub(crate) struct PauseDetector {
     last: Instant,
     resumed: Instant,
 }
 
-impl Pulse {
+impl PauseDetector {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             last: now,
@@ -88,7 +88,7 @@
     }
 
     /// Notes a tick and tells whether the process stood still before it.
-    pub(crate) fn beat(&mut self, now: Instant) -> bool {
+    pub(crate) fn tick(&mut self, now: Instant) -> bool {
         let stood_still = now.saturating_duration_since(self.last) > PAUSE;
         if stood_still {
             self.resumed = now;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -5,14 +5,14 @@
 use super::*;
 use crate::records::{Envelope, Record};
 use crate::settings::Timing;
-use crate::types::{Offset, RecordId};
+use crate::types::{Incarnation, Offset, RecordId};
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn run(i: usize, incarnation: u64) -> Identity {
-    Identity {
+fn run(i: usize, incarnation: u64) -> Instance {
+    Instance {
         host: format!("h{i}").parse().unwrap(),
         incarnation: Incarnation(incarnation),
     }
@@ -25,7 +25,7 @@
     }
 }
 
-fn report(sender: Identity, folded: Offset) -> Report {
+fn report(sender: Instance, folded: Offset) -> Report {
     Report {
         sender,
         folded,
@@ -76,7 +76,7 @@
         leader
     }
 
-    fn join(&self, identity: Identity) -> Record {
+    fn join(&self, identity: Instance) -> Record {
         Record::Join {
             base: self.state.membership.version.offset,
             host: identity.host,
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -13,7 +13,7 @@
 
 use std::sync::Arc;
 
-use crate::types::{Caller, HostName, Incarnation, Offset, RequestId, RouteName, Verdict, value};
+use crate::types::{Caller, Offset, RequestId, RouteName, Verdict, value};
 
 mod claim;
 mod copy;
@@ -25,7 +25,7 @@
 pub(crate) use crate::types::Instance;
 
 pub(crate) use claim::{Claim, ClaimAction, ClaimMessage, ClaimOutcome, ClaimSpec};
-pub(crate) use copy::{CopyAsk, CopyEntry, CopyHolding, CopyPage, CopyState};
+pub(crate) use copy::{CopyAsk, CopyPage};
 pub(crate) use register::{Register, RegisterLimits, instances};
 
 /// Longest idempotency key, in bytes; it bounds the memory of an entry.
--- a/src/once/register.rs
+++ b/src/once/register.rs
@@ -168,11 +168,13 @@
     }
 
     /// Number of keys held.
+    #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
 
     /// Bytes of stored answers.
+    #[cfg(test)]
     pub(crate) fn answer_bytes(&self) -> usize {
         self.answer_bytes
     }
--- a/src/once/tests.rs
+++ b/src/once/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::fold::{Member, Membership, Version};
+use crate::types::{HostName, Incarnation};
 
 /// What upstreams and callers saw; the checker knows nothing else.
 #[derive(Clone, Debug)]
--- a/src/ownership/gate.rs
+++ b/src/ownership/gate.rs
@@ -113,12 +113,6 @@
         })
     }
 
-    /// Tells whether a request that was admitted earlier, and not sent yet, may still be sent.
-    pub(crate) fn permits(&self, now: Instant, state: &State, pass: &Pass) -> bool {
-        let owner = self.find_owner(now, state, &pass.pool, pass.id.hash);
-        owner.is_ok_and(|(owner, epoch)| *owner == pass.owner && epoch == pass.epoch)
-    }
-
     /// Notes that a request has ended, in whatever way.
     pub(crate) fn end(&mut self, pass: &Pass) {
         if let Some(flights) = self.flights.get_mut(&pass.pool) {
--- a/src/ownership/health.rs
+++ b/src/ownership/health.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::fold::State;
-use crate::membership::Pulse;
+use crate::membership::PauseDetector;
 use crate::settings::Timing;
 use crate::tables::Pool;
 use crate::types::UpstreamName;
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub(crate) struct Health {
     detection: Duration,
-    pulse: Pulse,
+    pauses: PauseDetector,
     upstreams: BTreeMap<UpstreamName, Contact>,
 }
 
@@ -34,7 +34,7 @@
     pub(crate) fn new(timing: &Timing, now: Instant) -> Self {
         Self {
             detection: timing.detection.0,
-            pulse: Pulse::new(now),
+            pauses: PauseDetector::new(now),
             upstreams: BTreeMap::new(),
         }
     }
@@ -42,7 +42,7 @@
     /// Gives the upstreams of pools divided by key to probe now, each three times per detection
     /// time.
     pub(crate) fn tick(&mut self, now: Instant, state: &State) -> Vec<UpstreamName> {
-        if self.pulse.beat(now) {
+        if self.pauses.tick(now) {
             // Answers that arrived during the pause are not read yet.
             for contact in self.upstreams.values_mut() {
                 contact.unanswered = contact.unanswered.map(|_| now);
--- a/src/ownership/loss.rs
+++ b/src/ownership/loss.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::fold::State;
-use crate::membership::{Identity, Liveness, majority};
+use crate::membership::{Instance, Liveness, majority};
 use crate::settings::Timing;
 use crate::tables::Pool;
 use crate::types::{HostName, UpstreamName};
@@ -14,20 +14,20 @@
 /// Collects the upstreams that each host can't reach.
 #[derive(Debug)]
 pub(crate) struct LossDetector {
-    me: Identity,
+    me: Instance,
     fresh: Duration,
     reports: BTreeMap<HostName, Sighting>,
 }
 
 #[derive(Debug)]
 struct Sighting {
-    sender: Identity,
+    sender: Instance,
     at: Instant,
     unreachable: BTreeSet<UpstreamName>,
 }
 
 impl LossDetector {
-    pub(crate) fn new(me: Identity, timing: &Timing) -> Self {
+    pub(crate) fn new(me: Instance, timing: &Timing) -> Self {
         Self {
             me,
             fresh: timing.detection.0,
@@ -36,7 +36,7 @@
     }
 
     /// Notes what a host, this one included, can't reach.
-    pub(crate) fn note_unreachable(&mut self, now: Instant, sender: &Identity, unreachable: BTreeSet<UpstreamName>) {
+    pub(crate) fn note_unreachable(&mut self, now: Instant, sender: &Instance, unreachable: BTreeSet<UpstreamName>) {
         let sighting = Sighting {
             sender: sender.clone(),
             at: now,
--- a/src/ownership/mover.rs
+++ b/src/ownership/mover.rs
@@ -14,7 +14,7 @@
 use super::{Drain, FreezeAck, FrozenGroup, FrozenGroups, GrantedRange, Revoke};
 use super::{frozen_groups, ownership_of, run_limit};
 use crate::fold::{RangeInfo, RangeTable, State};
-use crate::membership::{APPEND_RETRY, Identity, Liveness, majority, outlast};
+use crate::membership::{APPEND_RETRY, Instance, Liveness, majority, outlast};
 use crate::placement::{MoveCause, RangeMove};
 use crate::records::{RangeOwner, Record};
 use crate::settings::Timing;
@@ -96,7 +96,7 @@
 
 #[derive(Debug)]
 struct HostAck {
-    sender: Identity,
+    sender: Instance,
     drain: Drain,
     /// Latest instant from which a grant of this host counts.
     renewed: Instant,
@@ -129,7 +129,7 @@
     }
 
     /// Notes an acknowledgement of a host, this one included.
-    pub(crate) fn note_ack(&mut self, now: Instant, sender: &Identity, ack: &FreezeAck) {
+    pub(crate) fn note_ack(&mut self, now: Instant, sender: &Instance, ack: &FreezeAck) {
         let key = (ack.freeze, ack.owner.clone());
         if ack.freeze <= self.folded && !self.frozen.contains_key(&key) {
             return;
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::*;
-use crate::membership::{Election, Identity, Lease, Liveness, Report, Site};
+use crate::membership::{Election, Instance, Lease, Liveness, Report, Site};
 use crate::placement::{MoveCause, RangeMove};
 use crate::records::{Envelope, Record};
 use crate::settings::Timing;
@@ -96,7 +96,7 @@
 }
 
 struct Node {
-    me: Identity,
+    me: Instance,
     state: State,
     lease: Lease,
     liveness: Liveness,
@@ -118,7 +118,7 @@
 
 impl Node {
     fn new(i: usize, run: u64, now: Instant, without: Without) -> Self {
-        let me = Identity {
+        let me = Instance {
             host: host(i),
             incarnation: Incarnation(run),
         };
@@ -339,6 +339,7 @@
 /// A request that an upstream accepted, or would accept.
 #[derive(Clone, Debug)]
 struct Accept {
+    #[allow(dead_code, reason = "shown when a check fails")]
     at: Instant,
     hash: KeyHash,
     epoch: Offset,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,13 +10,12 @@
 
 #[rustfmt::skip]
 #[allow(clippy::pedantic, unreachable_pub)]
-#[path = "generated/ragworthub.Peers.rs"]
 mod generated;
 
 #[cfg(test)]
 mod tests;
 
-pub(crate) use client::{CallError, Peers};
+pub(crate) use client::Peers;
 pub(crate) use codec::PackCodec;
 pub(crate) use messages::{
     Batch, ClaimMessage, CopyPage, CopyQuestion, CreditReport, Heartbeat, HeartbeatAnswer, HoldAnswer, Lends, Received,
--- a/src/placement/loads.rs
+++ b/src/placement/loads.rs
@@ -78,6 +78,7 @@
     }
 
     /// Number of entries in memory.
+    #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
         self.ranges.len() + self.sketch.counters.len()
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use document::{Document, Fields, Node, Value};
+pub(crate) use document::{Document, Fields, Node};
 pub(crate) use reading::parse_settings;
 
 value! {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -12,9 +12,11 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use matching::{KeyError, find_caller, find_key, match_route};
+#[cfg(test)]
+pub(crate) use matching::KeyError;
+pub(crate) use matching::{find_caller, find_key, match_route};
 pub(crate) use reading::parse_tables;
-pub(crate) use service::{CapacityReport, PoolCapacity, UnknownTarget, check_capacity, check_service_target};
+pub(crate) use service::{CapacityReport, UnknownTarget, check_capacity, check_service_target};
 
 value! {
     /// Both tables; a route names its pool.
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -8,8 +8,6 @@
 use thiserror::Error;
 use uuid::Uuid;
 
-use super::value;
-
 /// Longest accepted name, in bytes; a longer one is a mistake or hostile.
 const NAME_MAX: usize = 128;
 
@@ -50,6 +48,7 @@
         pub(crate) struct $name(std::sync::Arc<str>);
 
         impl $name {
+            #[allow(dead_code, reason = "not every name is needed as text")]
             pub(crate) fn as_str(&self) -> &str {
                 &self.0
             }
--- a/src/types/key.rs
+++ b/src/types/key.rs
@@ -56,6 +56,7 @@
 
 impl KeyRange {
     /// The whole hash space.
+    #[cfg(test)]
     pub(crate) const ALL: Self = Self {
         first: KeyHash::MIN,
         last: KeyHash::MAX,
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -25,7 +25,6 @@
 pub(crate) use ids::{
     Caller, HostName, Incarnation, Instance, Offset, PoolName, RecordId, RequestId, RouteName, UpstreamName, Zone,
 };
-pub(crate) use key::BadRange;
 pub(crate) use key::{KeyHash, KeyRange};
-pub(crate) use quantity::{BadQuantity, Size, Span};
+pub(crate) use quantity::{Size, Span};
 pub(crate) use verdict::{Reason, Verdict};
