Measure the path with three routers; labels that allocate nothing

Cause: path-cost started one router, which has no peer to hold its counts, so each answer waits for the log; its tables had an outdated form and addresses that the checks refuse. Metric labels allocated strings four times a request. Ruled out: counting without copies for a sole member; its answers could be lost from the counts. Change: three routers, one of them measured; the stand-in upstream listens at more loopback addresses; typed labels share the names. Conclusion: the measurement runs the path as it is deployed.

--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,18 +15,47 @@
 /// Upper bounds of the latency buckets, in seconds; finest around the 14 ms target.
 const LATENCY_BOUNDS: [f64; 12] = [0.001, 0.002, 0.004, 0.007, 0.01, 0.014, 0.02, 0.04, 0.1, 0.4, 1.0, 4.0];
 
-type Labels<const N: usize> = [(&'static str, String); N];
+// The labels hold shared names, so that counting a request allocates nothing.
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteVerdict {
+    route: RouteName,
+    verdict: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteReason {
+    route: RouteName,
+    reason: &'static str,
+}
+
+/// The route is empty for a request that none matched.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Refused {
+    route: String,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfRoute {
+    route: RouteName,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfUpstream {
+    upstream: UpstreamName,
+}
 
 /// Counters, gauges and histograms of a host.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
-    requests: Family<Labels<2>, Counter>,
-    refusals: Family<Labels<2>, Counter>,
-    retries: Family<Labels<2>, Counter>,
-    hedges: Family<Labels<1>, Counter>,
-    latency: Family<Labels<1>, Histogram>,
-    in_flight: Family<Labels<1>, Gauge>,
+    requests: Family<RouteVerdict, Counter>,
+    refusals: Family<Refused, Counter>,
+    retries: Family<RouteReason, Counter>,
+    hedges: Family<OfRoute, Counter>,
+    latency: Family<OfUpstream, Histogram>,
+    in_flight: Family<OfUpstream, Gauge>,
     skipped: Counter,
     folded: Gauge,
     lease: Gauge,
@@ -95,39 +125,48 @@
     }
 
     pub(crate) fn count_request(&self, route: &RouteName, verdict: Verdict) {
-        self.requests
-            .get_or_create(&[("route", route.to_string()), ("verdict", verdict.to_string())])
-            .inc();
+        let labels = RouteVerdict {
+            route: route.clone(),
+            verdict: verdict.as_str(),
+        };
+        self.requests.get_or_create(&labels).inc();
     }
 
     /// Counts a refusal; requests that no route matches count under an empty route.
     pub(crate) fn count_refusal(&self, route: Option<&RouteName>, reason: Reason) {
         let route = route.map(ToString::to_string).unwrap_or_default();
         self.refusals
-            .get_or_create(&[("route", route), ("reason", reason.to_string())])
+            .get_or_create(&Refused {
+                route,
+                reason: reason.as_str(),
+            })
             .inc();
     }
 
     pub(crate) fn count_retry(&self, route: &RouteName, reason: Reason) {
-        self.retries
-            .get_or_create(&[("route", route.to_string()), ("reason", reason.to_string())])
-            .inc();
+        let labels = RouteReason {
+            route: route.clone(),
+            reason: reason.as_str(),
+        };
+        self.retries.get_or_create(&labels).inc();
     }
 
     pub(crate) fn count_hedge(&self, route: &RouteName) {
-        self.hedges.get_or_create(&[("route", route.to_string())]).inc();
+        self.hedges.get_or_create(&OfRoute { route: route.clone() }).inc();
     }
 
     pub(crate) fn observe_latency(&self, upstream: &UpstreamName, latency: Duration) {
-        self.latency
-            .get_or_create(&[("upstream", upstream.to_string())])
-            .observe(latency.as_secs_f64());
+        let labels = OfUpstream {
+            upstream: upstream.clone(),
+        };
+        self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
     }
 
     pub(crate) fn change_in_flight(&self, upstream: &UpstreamName, change: i64) {
-        self.in_flight
-            .get_or_create(&[("upstream", upstream.to_string())])
-            .inc_by(change);
+        let labels = OfUpstream {
+            upstream: upstream.clone(),
+        };
+        self.in_flight.get_or_create(&labels).inc_by(change);
     }
 
     pub(crate) fn count_skipped(&self) {
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use displaydoc::Display;
+use prometheus_client::encoding::{EncodeLabelValue, LabelValueEncoder};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use uuid::Uuid;
@@ -43,12 +44,11 @@
 macro_rules! name {
     ($($(#[$doc:meta])* $name:ident;)+) => {$(
         $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
         pub(crate) struct $name(std::sync::Arc<str>);
 
         impl $name {
-            #[allow(dead_code, reason = "not every name is needed as text")]
             pub(crate) fn as_str(&self) -> &str {
                 &self.0
             }
@@ -77,6 +77,12 @@
             }
         }
 
+        impl EncodeLabelValue for $name {
+            fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+                EncodeLabelValue::encode(&self.as_str(), encoder)
+            }
+        }
+
         impl From<$name> for String {
             fn from(name: $name) -> Self {
                 name.0.as_ref().to_owned()
--- a/standins/src/bin/path-cost.rs
+++ b/standins/src/bin/path-cost.rs
@@ -39,7 +39,8 @@
 
 /// Measures the cost of the request path on loopback, beside a direct call in the same run.
 ///
-/// Starts the stand-ins for the platform and an upstream and one router process, all of which have
+/// Starts the stand-ins for the platform and an upstream and three router processes, of which one
+/// gets the load, all of which have
 /// to be built in the folder of this program, in release mode for figures that count. Takes less
 /// than a minute. Prints a table, and then one JSON line for each measure with its target.
 ///
@@ -95,7 +96,10 @@
     folder: PathBuf,
     _platform: Process,
     upstream: Process,
+    /// The router that is measured.
     router: Process,
+    /// Routers in other availability zones, which hold its counts.
+    _peers: [Process; 2],
     operators: SocketAddr,
 }
 
@@ -118,10 +122,10 @@
     Ok(Process { child, address })
 }
 
-fn start_router(folder: &Path, platform: SocketAddr) -> Result<(Process, SocketAddr), Failure> {
-    let path = folder.join("host.yaml");
+fn start_router(folder: &Path, zone: &str, platform: SocketAddr) -> Result<(Process, SocketAddr), Failure> {
+    let path = folder.join(format!("host-{zone}.yaml"));
     let settings = format!(
-        "host: entry\nzone: a\nlisten: {{ callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' }}\n\
+        "host: entry-{zone}\nzone: {zone}\nlisten: {{ callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' }}\n\
          platform: {{ log: '{platform}' }}\ncredentials: {{ peers: peers, operators: {CREDENTIAL} }}\n"
     );
     std::fs::write(&path, settings)?;
@@ -157,36 +161,44 @@
         let listen = ["--listen", "127.0.0.1:0"];
         let platform = start_standin("platform", &listen)?;
         let behaviour = ["--name", "u", "--service-ms", "0", "--slots", "256", "--queue", "4096"];
-        let upstream = start_standin("upstream", &[&listen[..], &behaviour].concat())?;
-        let (router, operators) = start_router(&folder, platform.address)?;
+        let more = RANGE_UPSTREAMS.to_string();
+        let behaviour = [&behaviour[..], &["--more-addresses", &more]].concat();
+        let upstream = start_standin("upstream", &[&listen[..], &behaviour[..]].concat())?;
+        let (router, operators) = start_router(&folder, "a", platform.address)?;
+        let (b, _) = start_router(&folder, "b", platform.address)?;
+        let (c, _) = start_router(&folder, "c", platform.address)?;
         Ok(Self {
             folder,
             _platform: platform,
             upstream,
             router,
+            _peers: [b, c],
             operators,
         })
     }
 
     /// Publishes a shared pool, and keyed pools with so many upstreams in all.
     fn publish(&self, keyed: usize) -> Result<(), Failure> {
-        let address = self.upstream.address;
-        let describe = |name: &str| {
-            format!("    {name}: {{ host: {name}, zone: a, address: '{address}', slots: 256, connections: 2000 }}\n")
+        let describe = |name: &str, address: SocketAddr| {
+            format!("      {name}: {{ host: {name}, zone: a, address: '{address}', slots: 256, connections: 2000 }}\n")
         };
         let mut pools = format!(
-            "padrones:\n  ownership: shared\n  upstreams:\n{}",
-            describe("padrones-0")
+            "pools:\n  padrones:\n    ownership: shared\n    upstreams:\n{}",
+            describe("padrones-0", self.upstream.address)
         );
         let mut routes =
-            "- { name: padrones, prefix: /padrones/, callers: { names: [c] }, pool: padrones }\n".to_owned();
+            "routes:\n  - { name: padrones, prefix: /padrones/, callers: { names: [c] }, pool: padrones }\n".to_owned();
         for first in (0..keyed).step_by(16) {
             let pool = format!("placas{first}");
-            write!(pools, "{pool}:\n  ownership: fenced\n  upstreams:\n")?;
-            (first..keyed.min(first + 16)).for_each(|i| pools.push_str(&describe(&format!("placas-{i}"))));
+            write!(pools, "  {pool}:\n    ownership: fenced\n    upstreams:\n")?;
+            for i in first..keyed.min(first + 16) {
+                let [_, _, high, low] = u32::try_from(i)?.to_be_bytes();
+                let address = SocketAddr::from(([127, 1, high, low], self.upstream.address.port()));
+                pools.push_str(&describe(&format!("placas-{i}"), address));
+            }
             writeln!(
                 routes,
-                "- {{ name: {pool}, prefix: /{pool}/, callers: {{ names: [c] }}, pool: {pool}, key: {{ segment: 0 }} }}"
+                "  - {{ name: {pool}, prefix: /{pool}/, callers: {{ names: [c] }}, pool: {pool}, key: {{ segment: 0 }} }}"
             )?;
         }
         std::fs::write(self.folder.join("routes.yaml"), routes)?;
@@ -240,7 +252,8 @@
         .body(Empty::new())?;
     let answer = sender.send_request(request).await?;
     if answer.status() != 200 {
-        return Err(format!("status {}", answer.status()).into());
+        let reason = answer.headers().get("ragworthub-reason").cloned();
+        return Err(format!("status {}, reason {reason:?}", answer.status()).into());
     }
     let mut body = answer.into_body();
     let mut length = 0;
--- a/standins/src/bin/upstream.rs
+++ b/standins/src/bin/upstream.rs
@@ -24,6 +24,9 @@
     /// Requests that wait for a slot before further ones are shed
     #[arg(long, default_value_t = 16)]
     queue: usize,
+    /// Further loopback addresses to listen at, from 127.1.0.0 on, at the same port
+    #[arg(long, default_value_t = 0)]
+    more_addresses: u16,
     /// Serve requests for keys without a check of grants
     #[arg(long)]
     unfenced: bool,
@@ -47,7 +50,7 @@
         queue,
         fenced: !unfenced,
     };
-    let address = start_upstream(arguments.listen, behaviour).await?;
+    let address = start_upstream(arguments.listen, arguments.more_addresses, behaviour).await?;
     println!("listening {address}");
     std::future::pending().await
 }
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -301,14 +301,22 @@
 
 /// Starts the stand-in and returns its address; it runs as long as the runtime.
 ///
+/// It also listens at the same port of the loopback addresses from 127.1.0.0 on, as many as `more`
+/// says, where it passes for further upstreams.
+///
 /// # Errors
 ///
-/// Fails if the address can't be bound.
-pub async fn start_upstream(listen: SocketAddr, behaviour: Behaviour) -> std::io::Result<SocketAddr> {
+/// Fails if an address can't be bound.
+pub async fn start_upstream(listen: SocketAddr, more: u16, behaviour: Behaviour) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let upstream = Arc::new(Upstream::new(behaviour));
-    tokio::spawn(accept_connections(listener, upstream));
+    tokio::spawn(accept_connections(listener, Arc::clone(&upstream)));
+    for i in 0..more {
+        let [high, low] = i.to_be_bytes();
+        let listener = TcpListener::bind((Ipv4Addr::new(127, 1, high, low), address.port())).await?;
+        tokio::spawn(accept_connections(listener, Arc::clone(&upstream)));
+    }
     Ok(address)
 }
 
