Bound messages of credits; send short answers in one piece

Under load a host sent more reports of credits than requests, which ended in queue-timeout in path-cost. With counts on the path, the head of an answer left before its end and callers that acknowledge late waited 45 ms.

--- a/src/admission/ramp.rs
+++ b/src/admission/ramp.rs
@@ -14,6 +14,9 @@
 ///
 /// It is below [`SLOW_FACTOR`], so that the limit doesn't swing at the border.
 const HEALTHY_FACTOR: f64 = 2.0;
+/// Baselines below this, in seconds, are judged as if they were this long. Answers of a few
+/// hundred microseconds vary by more than the factors through scheduling alone.
+const BASELINE_MIN: f64 = 0.002;
 /// Answers over which latency is judged, by their median.
 const JUDGED: usize = 20;
 /// Completed requests per unit of the limit before the limit grows.
@@ -256,12 +259,12 @@
         match self.baseline {
             None if full => self.baseline = Some(find_median(self.recent.iter().copied())),
             None => {}
-            Some(base) if full && find_median(self.recent.iter().copied()) > SLOW_FACTOR * base => {
+            Some(base) if full && find_median(self.recent.iter().copied()) > SLOW_FACTOR * base.max(BASELINE_MIN) => {
                 self.note(Sign::Slow, pool, now);
                 self.recent.clear();
             }
             // Slow answers stay out, so that the baseline doesn't follow the slowness it shows.
-            Some(base) if latency > SLOW_FACTOR * base => {}
+            Some(base) if latency > SLOW_FACTOR * base.max(BASELINE_MIN) => {}
             Some(base) => {
                 let gain = if latency < base / 2.0 {
                     BASELINE_DROP
@@ -285,7 +288,7 @@
         let Phase::Cold { unhealthy, .. } = &mut self.phase else {
             return;
         };
-        if median <= HEALTHY_FACTOR * base {
+        if median <= HEALTHY_FACTOR * base.max(BASELINE_MIN) {
             *unhealthy = 0;
             self.grow();
         } else {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -9,6 +9,8 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use http_body::Body as _;
+use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
 use super::call::Call;
@@ -36,6 +38,9 @@
 /// the tables meanwhile.
 const UPSTREAM_PROBES: u32 = 300;
 
+/// Largest answer that is held in memory until its count is safe, in bytes.
+const SHORT_ANSWER: u64 = 64 << 10;
+
 /// Upstreams of a shared pool that a request asks for a slot before it is refused.
 const CHOICES_MAX: u32 = 3;
 
@@ -482,8 +487,24 @@
         counted.set_verdict(Verdict::Ran);
         body.guard().set_counted(counted);
     }
+    if body.size_hint().upper().is_none_or(|size| size > SHORT_ANSWER) {
+        return Ok(Response::from_parts(parts, Body::wrap(body)));
+    }
     body.hold_head().await;
-    Ok(Response::from_parts(parts, Body::wrap(body)))
+    // The head of a short answer leaves together with its end, which waits for the count. Sent
+    // before it, the head would delay the rest by up to 40 ms at a caller that acknowledges late.
+    let Ok(whole) = body.collect().await else {
+        let refusal = Refusal {
+            verdict: Verdict::MayHaveRun,
+            reason: Reason::ConnectionLost,
+        };
+        return Err(Failed {
+            refusal,
+            unsent: None,
+            upstream: None,
+        });
+    };
+    Ok(Response::from_parts(parts, Body::from(whole.to_bytes())))
 }
 
 fn find_incarnation(headers: &HeaderMap) -> Option<Incarnation> {
--- a/src/host/credits.rs
+++ b/src/host/credits.rs
@@ -17,8 +17,14 @@
 use crate::membership::outlast;
 use crate::peer::Lends;
 use crate::tables::{Priority, Upstream};
+use crate::telemetry::Metrics;
 use crate::types::{Caller, HostName, Incarnation, Reason, UpstreamName};
 
+/// Messages between a broker and a holder of this host that one event may cause. Two sides that
+/// answer each other without end would otherwise keep the lock for ever; what is dropped here is
+/// repeated at the next tick.
+const LOCAL_MESSAGES_MAX: usize = 64;
+
 /// Time between two checks whether an upstream is free for a request that runs alone.
 const ISOLATION_CHECK: Duration = Duration::from_millis(5);
 /// Longest wait for the slot with which a host tells that an upstream was restarted.
@@ -353,6 +359,15 @@
             .collect()
     }
 
+    /// Shows the limits and credits of this host.
+    fn show(&self, metrics: &Metrics) {
+        for (name, row) in &self.lock().holders {
+            if let Some(lend) = row.holder.last_lend() {
+                metrics.set_credits(name, lend.limit, lend.slots.count);
+            }
+        }
+    }
+
     /// Ejections that the brokers have passed on, with the time left of each.
     pub(crate) fn ejections(&self) -> BTreeMap<UpstreamName, Duration> {
         let tables = self.lock();
@@ -501,7 +516,8 @@
 
     fn run_queue(&mut self, mut queue: VecDeque<CreditMessage>, credits: &Credits, now: Instant) -> Outbox {
         let mut outbox = Outbox::new();
-        while let Some(message) = queue.pop_front() {
+        for _ in 0..LOCAL_MESSAGES_MAX {
+            let Some(message) = queue.pop_front() else { break };
             match message {
                 CreditMessage::Report(report) if report.term.host == credits.me.host => {
                     let broker = self.brokers.get_mut(&report.upstream);
@@ -662,6 +678,7 @@
             shared.policies.set_utilisation(name, used);
         }
     }
+    shared.credits.show(&shared.metrics);
     let (ejected, returned) = shared.policies.tick(now);
     for (upstream, until) in ejected {
         eject_upstream(shared, &upstream, until);
@@ -711,7 +728,9 @@
     for message in outbox {
         match message {
             CreditMessage::Report(report) => {
-                tokio::spawn(send_report(Arc::clone(shared), report));
+                if let Some(report) = shared.reports.push(report) {
+                    tokio::spawn(send_reports(Arc::clone(shared), report));
+                }
             }
             CreditMessage::Lend(lend) => lends.entry(lend.to.host.clone()).or_default().push(lend),
         }
@@ -722,9 +741,50 @@
     }
 }
 
-async fn send_report(shared: Arc<Shared>, report: Report) {
-    let home = report.term.host.clone();
-    if let Ok(answer) = shared.peers.report_credits(&home, report).await {
-        take_lends(&shared, answer.lends);
+/// Reports to remote homes: the newest that waits while one of the same upstream is on its way.
+///
+/// A report holds all that the home has not acknowledged, so the newest stands for those before
+/// it. Under load there would otherwise be more reports than requests.
+#[derive(Debug, Default)]
+pub(crate) struct ReportQueue {
+    waiting: Mutex<BTreeMap<UpstreamName, Option<Report>>>,
+}
+
+impl ReportQueue {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamName, Option<Report>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a report and gives it back if it can be sent at once.
+    fn push(&self, report: Report) -> Option<Report> {
+        let mut waiting = self.lock();
+        if let Some(place) = waiting.get_mut(&report.upstream) {
+            *place = Some(report);
+            return None;
+        }
+        waiting.insert(report.upstream.clone(), None);
+        Some(report)
+    }
+
+    /// Gives the report that waited for the end of one to the same upstream.
+    fn next(&self, upstream: &UpstreamName) -> Option<Report> {
+        let mut waiting = self.lock();
+        let next = waiting.get_mut(upstream).and_then(Option::take);
+        if next.is_none() {
+            waiting.remove(upstream);
+        }
+        next
+    }
+}
+
+async fn send_reports(shared: Arc<Shared>, first: Report) {
+    let upstream = first.upstream.clone();
+    let mut next = Some(first);
+    while let Some(report) = next {
+        let home = report.term.host.clone();
+        if let Ok(answer) = shared.peers.report_credits(&home, report).await {
+            take_lends(&shared, answer.lends);
+        }
+        next = shared.reports.next(&upstream);
     }
 }
--- a/src/host/shared.rs
+++ b/src/host/shared.rs
@@ -10,7 +10,7 @@
 
 use super::agreement::Agreement;
 use super::counting::Counting;
-use super::credits::Credits;
+use super::credits::{Credits, ReportQueue};
 use super::flights::Flights;
 use super::policies::Policies;
 use super::proposal::Outcomes;
@@ -42,6 +42,7 @@
     pub(crate) calls: UpstreamCalls,
     pub(crate) agreement: Agreement,
     pub(crate) credits: Credits,
+    pub(crate) reports: ReportQueue,
     pub(crate) flights: Flights,
     pub(crate) policies: Policies,
     pub(crate) suspicion: Suspicion,
@@ -72,6 +73,7 @@
             peers: Peers::new(&settings.credentials.peers),
             calls: UpstreamCalls::new(),
             agreement: Agreement::new(&settings, me.clone(), peers, now),
+            reports: ReportQueue::default(),
             credits: Credits::new(me.clone(), settings.limits.queue),
             flights: Flights::default(),
             policies: Policies::new(now),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -4,10 +4,10 @@
 
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use super::generated::peers_server::{Peers, PeersServer};
@@ -92,6 +92,7 @@
 pub(crate) fn serve_peers<H: PeerHandler>(listener: TcpListener, credential: Secret, handler: Arc<H>) {
     let service = PeersServer::new(Service(handler)).max_decoding_message_size(MESSAGE_MAX);
     let checked = InterceptedService::new(service, CheckCredential(credential));
-    let server = Server::builder().tcp_nodelay(true).add_service(checked);
-    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    // Without it small answers wait up to 40 ms for the acknowledgement of the ones before.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(Server::builder().add_service(checked).serve_with_incoming(incoming));
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -56,6 +56,8 @@
     hedges: Family<OfRoute, Counter>,
     latency: Family<OfUpstream, Histogram>,
     in_flight: Family<OfUpstream, Gauge>,
+    limit: Family<OfUpstream, Gauge>,
+    credits: Family<OfUpstream, Gauge>,
     skipped: Counter,
     folded: Gauge,
     lease: Gauge,
@@ -71,6 +73,8 @@
             hedges: Family::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS)),
             in_flight: Family::default(),
+            limit: Family::default(),
+            credits: Family::default(),
             skipped: Counter::default(),
             folded: Gauge::default(),
             lease: Gauge::default(),
@@ -92,6 +96,16 @@
             "Further attempts by route and reason of the last failure",
             self.retries.clone(),
         );
+        r.register(
+            "upstream_limit",
+            "Concurrency limit of an upstream over all hosts",
+            self.limit.clone(),
+        );
+        r.register(
+            "upstream_credits",
+            "Slots of an upstream that this host may use",
+            self.credits.clone(),
+        );
         r.register(
             "hedges",
             "Second attempts beside a slow one, by route",
@@ -169,6 +183,15 @@
         self.in_flight.get_or_create(&labels).inc_by(change);
     }
 
+    /// Sets an upstream's concurrency limit over all hosts and the slots that this host may use.
+    pub(crate) fn set_credits(&self, upstream: &UpstreamName, limit: u32, credits: u32) {
+        let labels = OfUpstream {
+            upstream: upstream.clone(),
+        };
+        self.limit.get_or_create(&labels).set(limit.into());
+        self.credits.get_or_create(&labels).set(credits.into());
+    }
+
     pub(crate) fn count_skipped(&self) {
         self.skipped.inc();
     }
