Test zones, proofs of not run and pages of a copy

Cause: the random runs say little about zones and `Unavailable`, and never reach a second page of a copy.

Change: directed tests of the two-zone rule, of the verdict when no majority answers, and of a copy of 2,500 keys in three pages.

Ruled out: a paging test in which the source has seen two of three members leave without a copy. The joiner rightly doesn't vote then, because a key may be held only by those that left.

--- a/src/once/tests.rs
+++ b/src/once/tests.rs
@@ -673,3 +673,94 @@
     }
     assert_eq!(check_history(&world.history), Ok(()));
 }
+
+/// Guards against a claim that one zone's loss could undo, and against a "not run" that hides an
+/// earlier attempt which the members that didn't answer may know.
+#[test]
+fn claims_need_two_zones_and_not_run_needs_proof() {
+    let (now, world) = (Instant::now(), World::new(0, 4, Without::Nothing));
+    let instance = |i: usize| world.hosts[i].as_ref().unwrap().me.clone();
+    let spec = ClaimSpec {
+        key: request_key(1),
+        fingerprint: Fingerprint { hash: 1 },
+        attempt: RequestId(Uuid::from_u128(1)),
+        coordinator: instance(0),
+        deadline: now + Duration::from_secs(1),
+    };
+    let mut membership = world.log[0].clone();
+    membership.members.remove(&host_name(2));
+    let outcome = |answers: &[(usize, Vote)], end: bool| {
+        let mut claim = Claim::new(spec.clone(), &membership);
+        for (i, vote) in answers {
+            claim.answer(
+                &instance(*i),
+                &ClaimAnswer {
+                    version: Offset(1),
+                    vote: vote.clone(),
+                },
+            );
+        }
+        if end {
+            claim.tick(now + Duration::from_secs(1));
+        }
+        claim.outcome().cloned()
+    };
+    let yes = Vote::Accepted { electorate: 3 };
+    let full = Vote::Full { electorate: 3 };
+    let unavailable = |verdict| Some(ClaimOutcome::Unavailable { verdict });
+    // Hosts 0 and 3 are in one zone, host 1 in another.
+    assert_eq!(outcome(&[(0, yes.clone()), (3, yes.clone())], false), None);
+    assert_eq!(
+        outcome(&[(0, yes.clone()), (1, yes.clone())], false),
+        Some(ClaimOutcome::Won)
+    );
+    assert_eq!(
+        outcome(&[(0, yes.clone()), (3, yes.clone())], true),
+        unavailable(Verdict::NotRun)
+    );
+    assert_eq!(outcome(&[(0, yes.clone())], true), unavailable(Verdict::MayHaveRun));
+    assert_eq!(
+        outcome(&[(0, full.clone()), (1, full.clone())], false),
+        unavailable(Verdict::NotRun)
+    );
+    assert_eq!(
+        outcome(&[(0, full), (1, Vote::Open)], true),
+        Some(ClaimOutcome::HeldOpen)
+    );
+    // Evicted members that may hold the key still count until the others have copied.
+    let wide = Vote::Accepted { electorate: 5 };
+    assert_eq!(
+        outcome(&[(0, wide.clone()), (1, wide)], true),
+        unavailable(Verdict::MayHaveRun)
+    );
+}
+
+/// Guards against keys that are lost between two pages of a copy.
+#[test]
+fn copies_span_pages() {
+    let (now, world) = (Instant::now(), World::new(0, 2, Without::Nothing));
+    let instance = |i: usize| world.hosts[i].as_ref().unwrap().me.clone();
+    let (_, claim) = register_with(RegisterLimits::default(), now);
+    let mut source = Register::new(instance(0), RegisterLimits::default());
+    source.set_members(&world.log[0], now);
+    source.accept_loss();
+    for key in 0..2500 {
+        let key = ClaimKey {
+            key: request_key(key),
+            ..claim.clone()
+        };
+        assert!(matches!(source.claim(&key, now).vote, Vote::Accepted { .. }));
+    }
+    let mut joiner = Register::new(instance(1), RegisterLimits::default());
+    joiner.set_members(&world.log[0], now);
+    let mut pages = 0;
+    while let Some(ask) = joiner.next_copies().first() {
+        assert!(!joiner.is_voting());
+        let page = source.copy_out(ask.after.as_ref(), now);
+        joiner.copy_in(ask, &page, now);
+        // A page that is delivered twice has no further effect.
+        joiner.copy_in(ask, &page, now);
+        pages += 1;
+    }
+    assert_eq!((pages, joiner.len(), joiner.is_voting()), (3, 2500, true));
+}
