--- /dev/null
+++ b/src/catalog/tests.rs
@@ -0,0 +1,73 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{CallerLimits, Catalog, CatalogVersion, Effect, Route, Target, find_target};
+use crate::types::Offset;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("r{}", prefix.replace('/', "-")).parse().expect("a name"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        effect: Effect::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 0,
+        attempts: 2,
+        targets: vec![Target {
+            pool: "p".parse().expect("a name"),
+            weight: 1,
+        }],
+    }
+}
+
+fn catalog(routes: Vec<Route>) -> Catalog {
+    let mut by_host: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
+    for route in routes {
+        by_host
+            .entry(route.host.clone())
+            .or_default()
+            .insert(route.prefix.clone(), route);
+    }
+    Catalog {
+        version: CatalogVersion(1),
+        offset: Offset(1),
+        routes: by_host,
+        pools: BTreeMap::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+/// A shorter prefix must not take the requests of a longer one.
+#[test]
+fn the_longest_prefix_wins() {
+    let catalog = catalog(vec![
+        route("a.example", "/x/"),
+        route("a.example", "/x/y/"),
+        route("b.example", "/"),
+    ]);
+    let prefix = |host, path| catalog.find_route(host, path).map(|r| r.prefix.as_str());
+    assert_eq!(prefix("a.example", "/x/y/z"), Some("/x/y/"));
+    assert_eq!(prefix("A.example:8641", "/x/yy"), Some("/x/"));
+    assert_eq!(prefix("a.example", "/xy/"), None);
+    assert_eq!(prefix("b.example", "/any"), Some("/"));
+    assert_eq!(prefix("c.example", "/x/"), None);
+}
+
+/// A path without the prefix's last slash is another resource.
+#[test]
+fn a_prefix_ends_at_its_slash() {
+    let catalog = catalog(vec![route("a.example", "/x/")]);
+    assert!(catalog.find_route("a.example", "/x").is_none());
+}
+
+/// The host of an absolute URI goes before the header, as RFC 9112 section 3.2.2 says.
+#[test]
+fn the_host_of_an_absolute_uri_goes_first() {
+    let uri = "http://a.example/x/1?q".parse().expect("a URI");
+    assert_eq!(find_target(&uri, Some("b.example")), ("a.example", "/x/1"));
+}
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -13,16 +13,18 @@
 
 use super::change::{ask_capacity, find_change, submit_change};
 use super::client::HostClient;
-use super::files::{read_file, read_settings, read_tables};
+use super::files::{read_file, read_gateway_settings, read_settings, read_tables};
 use super::messages::{Change, ChangeRequest, OwnedRange};
 use super::output::{
     ChangeReport, Ending, Failure, HostReport, print, print_capacity, print_counts, print_hosts, print_range,
     print_report, print_valid,
 };
 use crate::counts::Period;
+use crate::gateway::run_gateway;
 use crate::host::run_host;
 use crate::records::ServiceTarget;
 use crate::tables::CapacityReport;
+use crate::telemetry::build_line_logger;
 use crate::types::{BadName, Caller, Offset, PoolName, RecordId, UpstreamName};
 
 /// Router for servers that own keys exclusively
@@ -42,6 +44,12 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs an entry host on the users' platform until SIGTERM
+    Gateway {
+        /// Settings file (YAML)
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Runs an entry host until SIGTERM
     Host {
         /// Settings file (YAML)
@@ -131,6 +139,11 @@
         /// Settings file (YAML)
         file: PathBuf,
     },
+    /// Checks a settings file of a gateway
+    Gateway {
+        /// Settings file (YAML)
+        file: PathBuf,
+    },
     /// Checks the routes and pools tables together
     Tables {
         #[command(flatten)]
@@ -200,6 +213,16 @@
 #[must_use]
 pub fn run_command() -> ExitCode {
     let Arguments { command, json } = Arguments::parse();
+    if let Command::Gateway { settings } = &command {
+        // One thread does everything, so this command has a runtime of its own.
+        return start_gateway(settings).map_or_else(
+            |failure| {
+                failure.print(json);
+                failure.ending().into()
+            },
+            |()| Ending::Done.into(),
+        );
+    }
     let runtime = tokio::runtime::Runtime::new().expect("threads for the runtime");
     let result = runtime.block_on(dispatch(command, json));
     let ending = result.unwrap_or_else(|failure| {
@@ -209,8 +232,18 @@
     ending.into()
 }
 
+fn start_gateway(settings: &Path) -> Result<(), Failure> {
+    let settings = read_gateway_settings(settings)?;
+    let log = build_line_logger(settings.host.as_str());
+    run_gateway(settings, &log).map_err(Failure::Failed)
+}
+
 async fn dispatch(command: Command, json: bool) -> Result<Ending, Failure> {
     match command {
+        Command::Gateway { settings } => {
+            start_gateway(&settings)?;
+            Ok(Ending::Done)
+        }
         Command::Host { settings } => {
             let settings = read_settings(&settings)?;
             run_host(settings).await.map_err(|e| Failure::Failed(e.to_string()))?;
@@ -279,6 +312,7 @@
 fn check_files(check: &Check, json: bool) -> Result<Ending, Failure> {
     match check {
         Check::Settings { file } => drop(read_settings(file)?),
+        Check::Gateway { file } => drop(read_gateway_settings(file)?),
         Check::Tables { files } => drop(read_tables(&files.routes, &files.pools)?),
     }
     print(json, &json!({ "result": "valid" }), |_| print_valid());
--- a/src/control/files.rs
+++ b/src/control/files.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use super::output::Failure;
+use crate::gateway::{GatewaySettings, parse_gateway_settings};
 use crate::settings::{Settings, parse_settings};
 use crate::tables::{Tables, parse_tables};
 use crate::types::Fault;
@@ -26,6 +27,16 @@
     parse_settings(&path.display().to_string(), &text).map_err(Failure::Input)
 }
 
+/// Reads and checks a settings file of a gateway.
+///
+/// # Errors
+///
+/// Gives the first fault of the file.
+pub(super) fn read_gateway_settings(path: &Path) -> Result<GatewaySettings, Failure> {
+    let text = read_file(path)?;
+    parse_gateway_settings(&text).map_err(|e| Failure::Failed(format!("{}: {e}", path.display())))
+}
+
 /// Reads and checks the files of both tables.
 ///
 /// # Errors
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,226 @@
+//! The upstreams that a host knows: a table of entities and the systems that keep it true.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::catalog::{Announcement, Phase};
+use crate::types::{PoolName, UpstreamName, Zone};
+
+mod health;
+mod load;
+mod pick;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use health::{Health, Outcome};
+pub(crate) use load::{Load, LoadReport};
+pub(crate) use pick::{Need, Preference, expect_time, pick_upstream};
+
+/// Time after the store's return within which upstreams whose entries lapsed announce themselves
+/// again; from the users' second letter, about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// Use of a leaving owner of keys while its keys move; well inside the shortest bound on draining.
+const HANDOFF_TIME: Duration = Duration::from_millis(800);
+
+/// An upstream as this host knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) said: Announcement,
+    /// When this host learnt of its present phase.
+    pub(crate) since: Instant,
+    /// Until when it counts as cold.
+    pub(crate) cold_until: Instant,
+    /// Its entry lapsed during an outage of the store; until when it may come back.
+    pub(crate) lapsed_until: Option<Instant>,
+    pub(crate) health: Health,
+    pub(crate) load: Load,
+}
+
+/// Number of a run of an upstream and of its announcement.
+type Stamp = (u64, u64);
+
+/// The table of upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    pools: BTreeMap<PoolName, BTreeSet<UpstreamName>>,
+    /// Newest announcement of each name, also of names that are gone: an older one that arrives
+    /// late must not bring an upstream back.
+    stamps: BTreeMap<UpstreamName, Stamp>,
+    /// Zones that operators took out of service.
+    closed_zones: BTreeSet<Zone>,
+    /// When the store last failed to answer.
+    store_failed: Option<Instant>,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Nothing that decisions use.
+    None,
+    /// It is older than what is known.
+    Stale,
+    /// A new upstream, or a new run of a known one.
+    Joined,
+    /// Its phase, address or load limits changed.
+    Updated,
+}
+
+impl Fleet {
+    /// Takes in an announcement.
+    pub(crate) fn announce(&mut self, now: Instant, said: Announcement) -> Change {
+        let stamp = (said.born, said.sequence);
+        let known = self.stamps.get(&said.upstream).copied();
+        let present = self.upstreams.contains_key(&said.upstream);
+        if known.is_some_and(|known| stamp < known || (stamp == known && !present)) {
+            return Change::Stale;
+        }
+        self.stamps.insert(said.upstream.clone(), stamp);
+        let cold_until = now + said.cold_left;
+        match self.upstreams.get_mut(&said.upstream) {
+            Some(upstream) if upstream.said.born == said.born && upstream.said.pool == said.pool => {
+                upstream.lapsed_until = None;
+                let is_same_phase = upstream.said.phase == said.phase;
+                let is_same =
+                    is_same_phase && upstream.said.address == said.address && upstream.said.slots == said.slots;
+                if !is_same_phase {
+                    upstream.since = now;
+                }
+                upstream.cold_until = cold_until;
+                upstream.said = said;
+                if is_same { Change::None } else { Change::Updated }
+            }
+            _ => {
+                self.drop_upstream(&said.upstream.clone());
+                self.insert(now, cold_until, said);
+                Change::Joined
+            }
+        }
+    }
+
+    fn insert(&mut self, now: Instant, cold_until: Instant, said: Announcement) {
+        // An address has one process at a time, so the former one there has ended.
+        let former = self.upstreams.values().find(|u| u.said.address == said.address);
+        if let Some(former) = former.map(|u| u.said.upstream.clone()) {
+            self.drop_upstream(&former);
+        }
+        let names = self.pools.entry(said.pool.clone()).or_default();
+        names.insert(said.upstream.clone());
+        let upstream = Upstream {
+            since: now,
+            cold_until,
+            lapsed_until: None,
+            health: Health::default(),
+            load: Load::new(now, said.slots),
+            said,
+        };
+        self.upstreams.insert(upstream.said.upstream.clone(), upstream);
+    }
+
+    /// Takes in that an upstream's entry is gone.
+    ///
+    /// After an outage of the store the entry may only have lapsed; the upstream then stays until
+    /// [`Fleet::expire`] finds that it didn't come back.
+    pub(crate) fn remove(&mut self, now: Instant, name: &UpstreamName) {
+        let lapse_ends = self.store_failed.map(|at| at + LAPSE_GRACE).filter(|&end| end > now);
+        match (lapse_ends, self.upstreams.get_mut(name)) {
+            (Some(end), Some(upstream)) if upstream.said.phase == Phase::Ready => {
+                upstream.lapsed_until.get_or_insert(end);
+            }
+            _ => self.drop_upstream(name),
+        }
+    }
+
+    fn drop_upstream(&mut self, name: &UpstreamName) {
+        if let Some(upstream) = self.upstreams.remove(name)
+            && let Some(names) = self.pools.get_mut(&upstream.said.pool)
+        {
+            names.remove(name);
+        }
+    }
+
+    /// Notes that the store didn't answer.
+    pub(crate) fn note_store_failure(&mut self, now: Instant) {
+        self.store_failed = Some(now);
+        for upstream in self.upstreams.values_mut() {
+            if let Some(end) = &mut upstream.lapsed_until {
+                *end = now + LAPSE_GRACE;
+            }
+        }
+    }
+
+    /// Drops upstreams whose entries lapsed and didn't come back, and gives their names.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<UpstreamName> {
+        let over = |u: &&Upstream| u.lapsed_until.is_some_and(|end| end <= now);
+        let names: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(over)
+            .map(|u| u.said.upstream.clone())
+            .collect();
+        for name in &names {
+            self.drop_upstream(name);
+        }
+        names
+    }
+
+    /// Keeps only the upstreams of a complete listing; the others are gone.
+    pub(crate) fn retain(&mut self, now: Instant, listed: &BTreeSet<UpstreamName>) {
+        let missing = self.upstreams.keys().filter(|name| !listed.contains(*name));
+        for name in missing.cloned().collect::<Vec<_>>() {
+            self.remove(now, &name);
+        }
+    }
+
+    pub(crate) fn close_zone(&mut self, zone: Zone) {
+        self.closed_zones.insert(zone);
+    }
+
+    pub(crate) fn open_zone(&mut self, zone: &Zone) {
+        self.closed_zones.remove(zone);
+    }
+
+    /// Opens the zones that the test doesn't name.
+    pub(crate) fn keep_closed(&mut self, is_closed: impl Fn(&Zone) -> bool) {
+        self.closed_zones.retain(|zone| is_closed(zone));
+    }
+
+    pub(crate) fn is_closed(&self, zone: &Zone) -> bool {
+        self.closed_zones.contains(zone)
+    }
+
+    pub(crate) fn get(&self, name: &UpstreamName) -> Option<&Upstream> {
+        self.upstreams.get(name)
+    }
+
+    pub(crate) fn get_mut(&mut self, name: &UpstreamName) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(name)
+    }
+
+    /// Gives the upstreams of a pool, whatever their state.
+    pub(crate) fn in_pool<'a>(&'a self, pool: &PoolName) -> impl Iterator<Item = &'a Upstream> {
+        let names = self.pools.get(pool).into_iter().flatten();
+        names.filter_map(|name| self.upstreams.get(name))
+    }
+
+    /// Tells whether an upstream takes new work that any upstream of its pool may do.
+    pub(crate) fn is_in_service(&self, upstream: &Upstream) -> bool {
+        upstream.said.phase == Phase::Ready && !self.is_closed(&upstream.said.zone)
+    }
+
+    /// Tells whether an owner of keys takes requests for them, also for a short time after it
+    /// began to leave.
+    pub(crate) fn serves_keys(&self, now: Instant, upstream: &Upstream) -> bool {
+        let is_leaving = upstream.said.phase == Phase::Draining;
+        !self.is_closed(&upstream.said.zone) && (!is_leaving || now < upstream.since + HANDOFF_TIME)
+    }
+}
+
+impl Upstream {
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,189 @@
+//! Answers to callers: an upstream's own, streamed, or a refusal of this host.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderName, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::connections::{Sender, read_keep_alive};
+use super::state::Gateway;
+use crate::platform::REQUEST_ID;
+use crate::types::{Reason, UpstreamName, Verdict};
+
+/// Header that says whether the request ran.
+const VERDICT: HeaderName = HeaderName::from_static("ragworthub-verdict");
+/// Header that says why the host refused the request.
+const REASON: HeaderName = HeaderName::from_static("ragworthub-reason");
+
+/// Headers that concern one connection only, beside those that `Connection` names.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    TRANSFER_ENCODING,
+    TE,
+    TRAILER,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("proxy-authenticate"),
+];
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// An attempt in flight at an upstream; counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    gateway: Rc<Gateway>,
+    pub(crate) upstream: UpstreamName,
+    sender: Option<Sender>,
+    keep_alive: Option<Duration>,
+}
+
+impl Flight {
+    pub(crate) fn start(gateway: &Rc<Gateway>, upstream: &UpstreamName) -> Self {
+        if let Some(entry) = gateway.fleet.borrow_mut().get_mut(upstream) {
+            entry.load.in_flight += 1;
+        }
+        Self {
+            gateway: Rc::clone(gateway),
+            upstream: upstream.clone(),
+            sender: None,
+            keep_alive: None,
+        }
+    }
+
+    /// Holds the connection until the answer's body ends.
+    pub(crate) fn hold(&mut self, sender: Sender, headers: &HeaderMap) {
+        self.sender = Some(sender);
+        self.keep_alive = read_keep_alive(headers);
+    }
+
+    /// Gives the connection back for further requests.
+    pub(crate) fn finish(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            let now = Instant::now();
+            self.gateway
+                .connections
+                .keep(now, &self.upstream, sender, self.keep_alive);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(entry) = self.gateway.fleet.borrow_mut().get_mut(&self.upstream) {
+            entry.load.in_flight = entry.load.in_flight.saturating_sub(1);
+            entry.health.cancel();
+        }
+    }
+}
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    Empty,
+    /// An upstream's body; an error in it ends the caller's connection, so that a broken answer
+    /// never looks complete.
+    Upstream {
+        body: Incoming,
+        flight: Flight,
+    },
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match &mut *self {
+            Self::Empty => Poll::Ready(None),
+            Self::Upstream { body, flight } => {
+                let frame = Pin::new(&mut *body).poll_frame(cx);
+                if matches!(frame, Poll::Ready(None))
+                    || (matches!(frame, Poll::Ready(Some(Ok(_)))) && body.is_end_stream())
+                {
+                    flight.finish();
+                }
+                frame
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Empty => true,
+            Self::Upstream { body, .. } => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Empty => SizeHint::with_exact(0),
+            Self::Upstream { body, .. } => body.size_hint(),
+        }
+    }
+}
+
+/// Why a request gets no answer of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) verdict: Verdict,
+    /// When the caller should come back; only for requests that have not run.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    pub(crate) fn not_run(reason: Reason, retry_after: Option<Duration>) -> Self {
+        Self {
+            reason,
+            verdict: Verdict::NotRun,
+            retry_after,
+        }
+    }
+
+    /// Gives the status: 503 promises that the request didn't run.
+    pub(crate) fn status(self) -> StatusCode {
+        let status = StatusCode::from_u16(self.reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        match (self.verdict, status) {
+            (Verdict::NotRun, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => StatusCode::SERVICE_UNAVAILABLE,
+            (Verdict::MayHaveRun | Verdict::Ran, StatusCode::SERVICE_UNAVAILABLE) => StatusCode::BAD_GATEWAY,
+            (_, status) => status,
+        }
+    }
+
+    pub(crate) fn into_response(self, id: Option<&HeaderValue>) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::Empty);
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        if let Some(id) = id {
+            headers.insert(REQUEST_ID, id.clone());
+        }
+        headers.insert(VERDICT, HeaderValue::from_static(self.verdict.as_str()));
+        headers.insert(REASON, HeaderValue::from_static(self.reason.as_str()));
+        if let Some(time) = self.retry_after {
+            let seconds = format!("{:.3}", time.as_secs_f64());
+            let value = HeaderValue::from_str(&seconds).expect("digits and a point are a valid value");
+            headers.insert(RETRY_AFTER, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/src/gateway/callers.rs
@@ -0,0 +1,146 @@
+//! Listens for callers and for questions whether the host is ready.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::request::serve;
+use super::state::Gateway;
+
+/// Limit on a caller's head before there is a configuration, in bytes.
+const HEAD_MAX: usize = 64 << 10;
+/// Idle time of a caller's connection before there is a configuration.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// Pause after the system refused a connection, for instance as no descriptor was left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The process's listeners.
+#[derive(Debug)]
+pub(crate) struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|e| format!("can't listen on {address}: {e}"))
+}
+
+/// Opens the listeners.
+///
+/// # Errors
+///
+/// Fails with the address that can't be used.
+pub(crate) async fn listen(gateway: &Gateway) -> Result<Listeners, String> {
+    let listen = &gateway.settings.listen;
+    Ok(Listeners {
+        callers: bind(listen.callers).await?,
+        ready: bind(listen.ready).await?,
+        metrics: bind(listen.metrics).await?,
+    })
+}
+
+/// Starts to accept connections.
+pub(crate) fn start_callers(gateway: &Rc<Gateway>, listeners: Listeners) {
+    spawn_local(accept_callers(Rc::clone(gateway), listeners.callers));
+    let state = Rc::clone(gateway);
+    spawn_local(serve_status(Rc::clone(gateway), listeners.ready, move || {
+        let status = if state.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, String::new())
+    }));
+    let state = Rc::clone(gateway);
+    spawn_local(serve_status(Rc::clone(gateway), listeners.metrics, move || {
+        (StatusCode::OK, state.metrics.render())
+    }));
+}
+
+async fn accept(gateway: &Gateway, listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                warn!(gateway.log, "connection not accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = accept(&gateway, &listener).await;
+        // Without it answers wait for acknowledgements; a failure costs only time.
+        let _ = stream.set_nodelay(true);
+        spawn_local(serve_caller(Rc::clone(&gateway), stream));
+    }
+}
+
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
+    gateway.callers.set(gateway.callers.get() + 1);
+    let (head_max, idle) = match gateway.catalog.borrow().as_ref() {
+        Some(catalog) => (catalog.limits.header_bytes.max(8_192), catalog.limits.idle_time),
+        None => (HEAD_MAX, IDLE_LIMIT),
+    };
+    let state = Rc::clone(&gateway);
+    let service = service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request));
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head_max)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closes = gateway.close_callers.notified();
+    tokio::pin!(closes);
+    closes.as_mut().enable();
+    if gateway.closes_callers.get() {
+        connection.as_mut().graceful_shutdown();
+    }
+    tokio::select! {
+        // A broken connection concerns its caller alone, who has seen it.
+        _ = connection.as_mut() => {}
+        () = closes => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+    gateway.callers.set(gateway.callers.get() - 1);
+}
+
+async fn serve_status(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    status: impl Fn() -> (StatusCode, String) + Clone + 'static,
+) {
+    loop {
+        let stream = accept(&gateway, &listener).await;
+        let status = status.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let (status, text) = status();
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        spawn_local(async move {
+            let _ = Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,142 @@
+//! Datagrams between hosts: counts of requests by key, for the grantor.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::grants::{find_former, note_counts, note_stopped, stand_down};
+use super::state::{Gateway, Presence};
+use super::watch::HOST_PREFIX;
+use crate::keys::KeyCounts;
+use crate::platform::HOST_TOPIC;
+use crate::types::HostName;
+
+/// Time between two messages to the grantor.
+const COUNT_PERIOD: Duration = Duration::from_millis(500);
+/// Keys in one message, which keeps it within one datagram of 1,400 bytes.
+const KEYS_MAX: usize = 200;
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_MAX: usize = 2_048;
+/// Pause after announcing this host in the store failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// A message between hosts. A lost one is made up for by the next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Message {
+    /// Requests by key, for the grantor.
+    Counts(KeyCounts),
+    /// A grantor asks the one before it to stop.
+    StandDown { epoch: u64 },
+    /// The answer: the host grants nothing under an older epoch.
+    Stopped { host: HostName, epoch: u64 },
+}
+
+/// Announces this host in the store and starts the exchange of datagrams.
+///
+/// # Errors
+///
+/// Fails if the address for datagrams can't be used.
+pub(crate) async fn start_peers(gateway: &Rc<Gateway>) -> Result<(), String> {
+    let address = gateway.settings.listen.peers;
+    let socket = UdpSocket::bind(address).await;
+    let socket = Rc::new(socket.map_err(|e| format!("can't receive datagrams on {address}: {e}"))?);
+    spawn_local(announce(Rc::clone(gateway)));
+    spawn_local(receive(Rc::clone(gateway), Rc::clone(&socket)));
+    spawn_local(send_counts(Rc::clone(gateway), socket));
+    Ok(())
+}
+
+async fn announce(gateway: Rc<Gateway>) {
+    let presence = Presence {
+        peers: gateway.settings.listen.peers,
+        zone: gateway.settings.zone.clone(),
+    };
+    let text = serde_json::to_vec(&presence).expect("addresses and names have a JSON form");
+    let key = format!("{HOST_PREFIX}{}", gateway.settings.host);
+    loop {
+        match gateway.store.append(HOST_TOPIC, None, &[(&key, &text)]).await {
+            Ok(offset) => {
+                info!(gateway.log, "host announced"; "offset" => offset.0);
+                return;
+            }
+            Err(error) => {
+                warn!(gateway.log, "host not announced"; "error" => %error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+            // An ICMP error of an earlier datagram; its loss is made up for by the next one.
+            continue;
+        };
+        match rmp_serde::from_slice::<Message>(&buffer[..length]) {
+            Ok(Message::Counts(counts)) => note_counts(&gateway, &counts),
+            Ok(Message::StandDown { epoch }) => {
+                stand_down(&gateway, epoch);
+                let host = gateway.settings.host.clone();
+                send(&socket, sender, &Message::Stopped { host, epoch }).await;
+            }
+            Ok(Message::Stopped { host, epoch }) => note_stopped(&gateway, epoch, &host),
+            Err(error) => warn!(gateway.log, "datagram can't be read"; "bytes" => length, "error" => %error),
+        }
+    }
+}
+
+async fn send_counts(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        sleep(COUNT_PERIOD).await;
+        ask_former(&gateway, &socket).await;
+        let pools: Vec<_> = gateway.tables.borrow().values().cloned().collect();
+        for table in pools {
+            let mut counts = gateway.key_counts.borrow_mut().remove(&table.pool).unwrap_or_default();
+            while !counts.is_empty() {
+                let rest = counts.keys().nth(KEYS_MAX).copied();
+                let rest = rest.map(|key| counts.split_off(&key)).unwrap_or_default();
+                let message = KeyCounts {
+                    host: gateway.settings.host.clone(),
+                    pool: table.pool.clone(),
+                    counts: std::mem::replace(&mut counts, rest),
+                };
+                send_to_grantor(&gateway, &socket, &table.grantor, message).await;
+            }
+        }
+    }
+}
+
+async fn send_to_grantor(gateway: &Gateway, socket: &UdpSocket, grantor: &HostName, counts: KeyCounts) {
+    if *grantor == gateway.settings.host {
+        note_counts(gateway, &counts);
+        return;
+    }
+    let address = gateway.hosts.borrow().get(grantor).map(|presence| presence.peers);
+    if let Some(address) = address {
+        send(socket, address, &Message::Counts(counts)).await;
+    }
+}
+
+async fn ask_former(gateway: &Gateway, socket: &UdpSocket) {
+    let Some((former, epoch)) = find_former(gateway) else {
+        return;
+    };
+    let address = gateway.hosts.borrow().get(&former).map(|presence| presence.peers);
+    if let Some(address) = address {
+        send(socket, address, &Message::StandDown { epoch }).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, address: SocketAddr, message: &Message) {
+    let bytes = rmp_serde::to_vec(message).expect("names and numbers have a MessagePack form");
+    // Lost messages are made up for by later ones, also if the system refuses to send.
+    let _ = socket.send_to(&bytes, address).await;
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,55 @@
+//! Settings of the process, from a YAML file.
+
+use std::net::SocketAddr;
+
+use crate::platform::{Bounds, decode_bounds};
+use crate::types::{HostName, Zone, value};
+
+value! {
+    /// Settings of a gateway.
+    pub(crate) struct GatewaySettings {
+        /// Name of this host.
+        pub(crate) host: HostName,
+        /// Availability zone of this host.
+        pub(crate) zone: Zone,
+        pub(crate) listen: GatewayListen,
+        /// Address of the platform's store.
+        pub(crate) store: SocketAddr,
+        /// Bounds of the deployment, each as `name=value`.
+        #[serde(default)]
+        pub(crate) bounds: Vec<String>,
+    }
+
+    /// Addresses on which the gateway listens.
+    pub(crate) struct GatewayListen {
+        pub(crate) callers: SocketAddr,
+        /// Answers whether the host takes new connections of callers.
+        pub(crate) ready: SocketAddr,
+        /// Datagrams of other hosts.
+        pub(crate) peers: SocketAddr,
+        pub(crate) metrics: SocketAddr,
+    }
+}
+
+impl GatewaySettings {
+    /// Decodes the bounds.
+    ///
+    /// # Panics
+    ///
+    /// Never for settings of [`parse_gateway_settings`], which checks them.
+    pub(crate) fn bounds(&self) -> Bounds {
+        decode_bounds(self.bounds.iter().map(String::as_str)).expect("bounds are checked when settings are read")
+    }
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+///
+/// Fails with the first fault and its place.
+pub(crate) fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, String> {
+    let options = serde_saphyr::options! { with_snippet: false };
+    let settings: GatewaySettings = serde_saphyr::from_str_with_options(text, options).map_err(|e| e.to_string())?;
+    decode_bounds(settings.bounds.iter().map(String::as_str))?;
+    Ok(settings)
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,231 @@
+//! What the process knows, shared by its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::connections::Connections;
+use super::grants::Grants;
+use super::settings::GatewaySettings;
+use crate::budget::{ColdGate, ColdShare, RetryBudget, RetryLimits};
+use crate::catalog::{Catalog, Pool, Route};
+use crate::fleet::{Fleet, Upstream};
+use crate::keys::KeyTable;
+use crate::platform::{Bounds, Store};
+use crate::telemetry::GatewayMetrics;
+use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
+
+/// Weight of one answer in the moving average of a route's time, in answers.
+const USUAL_WEIGHT: f64 = 0.05;
+/// Part of a route's objective that is taken as its usual time before there is an answer.
+const USUAL_START: f64 = 0.3;
+
+/// What a host says of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Presence {
+    pub(crate) peers: SocketAddr,
+    pub(crate) zone: Zone,
+}
+
+/// What this host has seen of a route.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RouteStats {
+    /// Usual time of an answer in milliseconds.
+    usual: Option<f64>,
+    /// What each target lacks of its share, for a smooth weighted choice.
+    lacks: Vec<f64>,
+}
+
+/// All state of the process.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) bounds: Bounds,
+    pub(crate) log: Logger,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) store: Store,
+    pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) fleet: RefCell<Fleet>,
+    /// The list of upstreams has been read at least once.
+    pub(crate) fleet_known: Cell<bool>,
+    pub(crate) hosts: RefCell<BTreeMap<HostName, Presence>>,
+    pub(crate) tables: RefCell<BTreeMap<PoolName, Rc<KeyTable>>>,
+    /// Woken when a key table changes.
+    pub(crate) tables_changed: Notify,
+    pub(crate) connections: Connections,
+    pub(crate) budgets: RefCell<BTreeMap<PoolName, RetryBudget>>,
+    pub(crate) cold_gates: RefCell<BTreeMap<UpstreamName, ColdGate>>,
+    pub(crate) routes: RefCell<BTreeMap<RouteName, RouteStats>>,
+    /// Requests by pool and key since the last message to the grantor.
+    pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
+    pub(crate) grants: Grants,
+    pub(crate) rng: RefCell<Pcg64Mcg>,
+    pub(crate) is_stopping: Cell<bool>,
+    /// Connections of callers that are open.
+    pub(crate) callers: Cell<usize>,
+    /// Tells the connections of callers to end after the request in progress.
+    pub(crate) close_callers: Notify,
+    pub(crate) closes_callers: Cell<bool>,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: GatewaySettings, log: Logger) -> Self {
+        let bounds = settings.bounds();
+        Self {
+            store: Store::new(settings.store),
+            bounds,
+            log,
+            settings,
+            metrics: GatewayMetrics::new(),
+            catalog: RefCell::default(),
+            fleet: RefCell::default(),
+            fleet_known: Cell::new(false),
+            hosts: RefCell::default(),
+            tables: RefCell::default(),
+            tables_changed: Notify::new(),
+            connections: Connections::default(),
+            budgets: RefCell::default(),
+            cold_gates: RefCell::default(),
+            routes: RefCell::default(),
+            key_counts: RefCell::default(),
+            grants: Grants::default(),
+            rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+            is_stopping: Cell::new(false),
+            callers: Cell::new(0),
+            close_callers: Notify::new(),
+            closes_callers: Cell::new(false),
+        }
+    }
+
+    /// Tells whether requests can be served: configuration, upstreams and owners of keys are known.
+    pub(crate) fn is_ready(&self) -> bool {
+        let catalog = self.catalog.borrow();
+        let Some(catalog) = catalog.as_ref() else {
+            return false;
+        };
+        let tables = self.tables.borrow();
+        let mut sharded = catalog.pools.values().filter(|pool| pool.is_sharded);
+        let has_owners = sharded.all(|pool| tables.contains_key(&pool.name));
+        self.fleet_known.get() && has_owners && !self.is_stopping.get()
+    }
+
+    /// Number of hosts that share the limits, this one included.
+    pub(crate) fn host_count(&self) -> usize {
+        self.hosts.borrow().len().max(1)
+    }
+
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
+        RetryLimits {
+            window: self.bounds.retry_window,
+            ratio: self.bounds.retry_ratio,
+            extra: self.bounds.retry_extra,
+        }
+    }
+
+    pub(crate) fn note_request(&self, now: Instant, pool: &PoolName) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets
+            .entry(pool.clone())
+            .or_default()
+            .note_request(now, &self.retry_limits());
+    }
+
+    /// Takes a second send at a pool from this host's share.
+    pub(crate) fn take_retry(&self, now: Instant, pool: &PoolName) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(pool.clone()).or_default();
+        budget.take(now, &self.retry_limits(), self.host_count())
+    }
+
+    /// Tells whether an upstream has a connection for one more request, and bears it if it is cold.
+    pub(crate) fn has_room(&self, now: Instant, pool: &Pool, upstream: &Upstream) -> bool {
+        self.admits_cold(now, pool, upstream)
+            && self
+                .connections
+                .has_room(&upstream.said.upstream, self.connection_share(pool))
+    }
+
+    /// Connections to one upstream that this host may open.
+    pub(crate) fn connection_share(&self, pool: &Pool) -> u32 {
+        // One is left for orders about keys.
+        let hosts = u32::try_from(self.host_count()).unwrap_or(u32::MAX);
+        ((pool.connections / hosts).saturating_sub(1)).max(1)
+    }
+
+    pub(crate) fn admits_cold(&self, now: Instant, pool: &Pool, upstream: &Upstream) -> bool {
+        if !upstream.is_cold(now) {
+            return true;
+        }
+        let bound = pool.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
+        let hosts: Vec<HostName> = self.hosts.borrow().keys().cloned().collect();
+        let share = ColdShare::of_host(bound, &hosts, &self.settings.host, &upstream.said.upstream);
+        let gates = self.cold_gates.borrow();
+        gates
+            .get(&upstream.said.upstream)
+            .map_or(share.0 > 0, |gate| gate.admits(now, share))
+    }
+
+    pub(crate) fn note_sent(&self, now: Instant, upstream: &UpstreamName) {
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(entry) = fleet.get_mut(upstream) else {
+            return;
+        };
+        entry.health.start();
+        if entry.is_cold(now) {
+            let mut gates = self.cold_gates.borrow_mut();
+            gates.entry(upstream.clone()).or_default().note_sent(now);
+        } else if !self.cold_gates.borrow().is_empty() {
+            self.cold_gates.borrow_mut().remove(upstream);
+        }
+    }
+
+    /// Gives the usual time of a route's answers.
+    pub(crate) fn usual_time(&self, route: &Route) -> Duration {
+        let routes = self.routes.borrow();
+        let usual = routes.get(&route.name).and_then(|stats| stats.usual);
+        usual.map_or(route.objective.mul_f64(USUAL_START), |ms| {
+            Duration::from_secs_f64(ms / 1e3)
+        })
+    }
+
+    /// Takes in the time of an answer; gives its ratio to the usual one.
+    pub(crate) fn note_time(&self, route: &Route, time: Duration) -> f64 {
+        let mut routes = self.routes.borrow_mut();
+        let stats = routes.entry(route.name.clone()).or_default();
+        let ms = time.as_secs_f64() * 1e3;
+        let usual = stats.usual.get_or_insert(ms);
+        *usual += USUAL_WEIGHT * (ms - *usual);
+        ms / usual.max(0.1)
+    }
+
+    /// Chooses the target whose share lacks most, so that each gets its weight exactly.
+    pub(crate) fn choose_target(&self, route: &Route) -> Option<PoolName> {
+        if let [only] = route.targets.as_slice() {
+            return Some(only.pool.clone());
+        }
+        let total: f64 = route.targets.iter().map(|t| f64::from(t.weight)).sum();
+        let mut routes = self.routes.borrow_mut();
+        let stats = routes.entry(route.name.clone()).or_default();
+        stats.lacks.resize(route.targets.len(), 0.0);
+        for (lack, target) in stats.lacks.iter_mut().zip(&route.targets) {
+            *lack += f64::from(target.weight) / total.max(1.0);
+        }
+        let most = (0..stats.lacks.len()).max_by(|&a, &b| stats.lacks[a].total_cmp(&stats.lacks[b]))?;
+        stats.lacks[most] -= 1.0;
+        Some(route.targets[most].pool.clone())
+    }
+
+    pub(crate) fn count_key(&self, pool: &PoolName, key: u16) {
+        let mut counts = self.key_counts.borrow_mut();
+        *counts.entry(pool.clone()).or_default().entry(key).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/src/keys/grantor.rs
@@ -0,0 +1,338 @@
+//! The grantor of a pool's keys as a state machine without input and output.
+//!
+//! Two rules keep a key at one owner. A grant goes out only for an assignment that is saved in the
+//! store. And a new owner gets a grant only after each earlier owner either confirmed a release under
+//! the new, higher fence, which also makes it refuse grants that are still on their way, or can't
+//! hold the keys any more because its last possible grant has run out or its run has ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{Holder, KeyTable, Move, Span};
+
+/// Time between two orders that failed, for one part.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time between two probes of an upstream that doesn't answer grants.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// Clock error of an upstream that is allowed for, as a divisor of the hold: PROTOCOL says 2%, so
+/// 1/33 leaves a margin.
+const CLOCK_MARGIN: u32 = 33;
+/// Longest way of a grant to an upstream without disturbance.
+const TRAVEL_TIME: Duration = Duration::from_millis(300);
+
+/// Times of grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hold {
+    /// Time for which a grant is given.
+    pub(crate) time: Duration,
+    /// Time after which it is given again.
+    pub(crate) renewal: Duration,
+    /// How long an earlier grantor may have renewed grants after this one took over.
+    pub(crate) takeover: Duration,
+}
+
+/// What the process around the grantor has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Action {
+    Save(KeyTable),
+    Grant {
+        holder: Holder,
+        span: Span,
+        fence: u64,
+        handover: Option<String>,
+    },
+    Release {
+        holder: Holder,
+        span: Span,
+        fence: u64,
+    },
+    /// Asks a silent upstream that owns nothing whether it answers again.
+    Probe(Holder),
+}
+
+/// How a release ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ReleaseOutcome {
+    /// The keys are free; with the token for a warm start of the next owner, if there is one.
+    Released(Option<String>),
+    Unknown,
+}
+
+/// How a grant ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GrantOutcome {
+    Taken,
+    /// The upstream has seen a higher fence.
+    Fenced,
+    /// No answer came; the connection didn't break.
+    Unknown,
+    /// The connection broke or couldn't be opened: the upstream may have started anew.
+    Broken,
+}
+
+/// What is in progress for a part, by its fence.
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    released: BTreeSet<Holder>,
+    /// Releases in flight or failed, with the time of the next try.
+    releasing: BTreeMap<Holder, Option<Instant>>,
+    handover: Option<String>,
+    is_granting: bool,
+    granted: Option<Instant>,
+    next_try: Option<Instant>,
+}
+
+/// Grants the keys of one pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Grantor {
+    table: KeyTable,
+    hold: Hold,
+    /// Highest fence of the last table that was saved.
+    saved_fence: u64,
+    is_saving: bool,
+    is_changed: bool,
+    /// Last time at which a grant to a run may have been sent, by this grantor or an earlier one.
+    sent: BTreeMap<Holder, Instant>,
+    progress: BTreeMap<u64, Progress>,
+    /// Upstreams that don't answer grants.
+    silent: BTreeMap<Holder, Silence>,
+}
+
+/// An upstream that doesn't answer grants.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    since: Instant,
+    /// Time of the next probe, once it owns nothing any more.
+    next: Instant,
+}
+
+impl Grantor {
+    /// Takes over a table whose last grants an earlier grantor may have given.
+    pub(crate) fn take_over(now: Instant, table: KeyTable, hold: Hold) -> Self {
+        let holders = table
+            .parts
+            .iter()
+            .flat_map(|part| part.owner.iter().chain(&part.previous));
+        let sent = holders.map(|holder| (holder.clone(), now + hold.takeover)).collect();
+        Self {
+            // Only the saved table tells the next grantor who this one is.
+            saved_fence: 0,
+            table,
+            hold,
+            is_saving: false,
+            is_changed: true,
+            sent,
+            progress: BTreeMap::new(),
+            silent: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn table(&self) -> &KeyTable {
+        &self.table
+    }
+
+    /// Notes that the earlier grantor has stopped by now.
+    pub(crate) fn note_stopped(&mut self, now: Instant) {
+        for sent in self.sent.values_mut() {
+            *sent = (*sent).min(now);
+        }
+    }
+
+    /// Changes owners; takes effect once saved.
+    pub(crate) fn apply(&mut self, moves: &[Move]) {
+        for next in moves {
+            self.table.assign(next.span, Some(&next.owner));
+        }
+        if !moves.is_empty() {
+            self.table.merge();
+            self.is_changed = true;
+        }
+    }
+
+    /// Owners that have not answered grants for a time.
+    pub(crate) fn silent_since(&self, limit: Instant) -> BTreeSet<Holder> {
+        let silent = self.silent.iter().filter(|(_, silence)| silence.since <= limit);
+        silent.map(|(holder, _)| holder.clone()).collect()
+    }
+
+    /// Gives what is due; `is_ended` knows runs of upstreams that have ended for certain, and
+    /// `is_known` those that can be called.
+    pub(crate) fn tick(
+        &mut self,
+        now: Instant,
+        is_ended: impl Fn(&Holder) -> bool,
+        is_known: impl Fn(&Holder) -> bool,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for at in 0..self.table.parts.len() {
+            if self.table.parts[at].fence <= self.saved_fence {
+                self.step_part(now, at, &is_ended, &is_known, &mut actions);
+            }
+        }
+        self.forget_progress();
+        self.probe_silent(now, &is_known, &mut actions);
+        if self.is_changed && !self.is_saving {
+            self.is_changed = false;
+            self.is_saving = true;
+            actions.push(Action::Save(self.table.clone()));
+        }
+        actions
+    }
+
+    fn step_part(
+        &mut self,
+        now: Instant,
+        at: usize,
+        is_ended: &impl Fn(&Holder) -> bool,
+        is_known: &impl Fn(&Holder) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let part = &self.table.parts[at];
+        let (span, fence) = (part.span, part.fence);
+        let progress = self.progress.entry(fence).or_default();
+        let mut is_free = true;
+        for holder in part.previous.iter().filter(|_| !part.ready) {
+            let last_sent = self.sent.get(holder).copied();
+            let runs_out = last_sent.map(|sent| sent + self.hold.time + self.hold.time / CLOCK_MARGIN + TRAVEL_TIME);
+            let is_same = part.owner.as_ref() == Some(holder);
+            let is_over = is_same || is_ended(holder) || runs_out.is_none_or(|end| end <= now);
+            if is_over || progress.released.contains(holder) {
+                continue;
+            }
+            is_free = false;
+            let is_due = match progress.releasing.get(holder) {
+                None => true,
+                Some(next) => next.is_some_and(|next| next <= now),
+            };
+            if is_due && is_known(holder) {
+                progress.releasing.insert(holder.clone(), None);
+                actions.push(Action::Release {
+                    holder: holder.clone(),
+                    span,
+                    fence,
+                });
+            }
+        }
+        let Some(owner) = part.owner.as_ref().filter(|owner| is_free && is_known(owner)) else {
+            return;
+        };
+        let renews = progress.granted.map(|at| at + self.hold.renewal);
+        let is_due = renews.is_none_or(|at| at <= now) && progress.next_try.is_none_or(|at| at <= now);
+        if is_due && !progress.is_granting {
+            progress.is_granting = true;
+            self.sent
+                .insert(owner.clone(), now.max(self.sent.get(owner).copied().unwrap_or(now)));
+            actions.push(Action::Grant {
+                holder: owner.clone(),
+                span,
+                fence,
+                handover: progress.handover.clone().filter(|_| !part.ready),
+            });
+        }
+    }
+
+    fn probe_silent(&mut self, now: Instant, is_known: &impl Fn(&Holder) -> bool, actions: &mut Vec<Action>) {
+        let parts = &self.table.parts;
+        self.silent.retain(|holder, _| is_known(holder));
+        for (holder, silence) in &mut self.silent {
+            let is_owner = parts.iter().any(|part| part.owner.as_ref() == Some(holder));
+            if silence.next <= now && !is_owner {
+                silence.next = now + PROBE_PERIOD;
+                actions.push(Action::Probe(holder.clone()));
+            }
+        }
+    }
+
+    /// Notes that a silent upstream answers again.
+    pub(crate) fn note_answering(&mut self, holder: &Holder) {
+        self.silent.remove(holder);
+    }
+
+    /// Drops what is known of parts that are no more.
+    fn forget_progress(&mut self) {
+        let fences: BTreeSet<u64> = self.table.parts.iter().map(|part| part.fence).collect();
+        self.progress.retain(|fence, _| fences.contains(fence));
+    }
+
+    /// Notes that a table is saved.
+    pub(crate) fn note_saved(&mut self, last_fence: u64) {
+        self.is_saving = false;
+        self.saved_fence = self.saved_fence.max(last_fence);
+    }
+
+    /// Notes how a grant ended that was sent at `sent`; true if requests may go there from now on.
+    pub(crate) fn note_grant(
+        &mut self,
+        now: Instant,
+        holder: &Holder,
+        fence: u64,
+        sent: Instant,
+        outcome: GrantOutcome,
+    ) -> bool {
+        match outcome {
+            GrantOutcome::Taken | GrantOutcome::Fenced => {
+                self.silent.remove(holder);
+            }
+            GrantOutcome::Unknown | GrantOutcome::Broken => {
+                let silence = Silence {
+                    since: now,
+                    next: now + PROBE_PERIOD,
+                };
+                self.silent.entry(holder.clone()).or_insert(silence);
+            }
+        }
+        let Some(part) = self.table.parts.iter_mut().find(|part| part.fence == fence) else {
+            return false;
+        };
+        let progress = self.progress.entry(fence).or_default();
+        progress.is_granting = false;
+        match outcome {
+            GrantOutcome::Taken => {
+                progress.granted = Some(sent);
+                progress.next_try = None;
+                if !part.ready {
+                    part.ready = true;
+                    part.previous.clear();
+                    self.is_changed = true;
+                    return true;
+                }
+                false
+            }
+            GrantOutcome::Unknown => {
+                progress.next_try = Some(now + RETRY_DELAY);
+                false
+            }
+            // The next life of an upstream must not take keys under a fence of the last one.
+            GrantOutcome::Broken | GrantOutcome::Fenced => {
+                let mut moved = progress.clone();
+                moved.next_try = Some(now + RETRY_DELAY);
+                moved.granted = None;
+                self.table.renew_fence(fence);
+                self.progress.insert(self.table.last_fence, moved);
+                self.is_changed = true;
+                false
+            }
+        }
+    }
+
+    /// Notes how a release ended.
+    pub(crate) fn note_release(&mut self, now: Instant, holder: &Holder, fence: u64, outcome: ReleaseOutcome) {
+        let Some(progress) = self.progress.get_mut(&fence) else {
+            return;
+        };
+        match outcome {
+            ReleaseOutcome::Released(handover) => {
+                progress.releasing.remove(holder);
+                progress.released.insert(holder.clone());
+                if handover.is_some() {
+                    progress.handover = handover;
+                }
+            }
+            ReleaseOutcome::Unknown => {
+                progress.releasing.insert(holder.clone(), Some(now + RETRY_DELAY));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/keys/plan.rs
@@ -0,0 +1,198 @@
+//! Decides which keys go to which upstream.
+//!
+//! Answers to the load patterns of an owner lost, a hot range that moves, servers that join, and a
+//! whole zone that starts cold: as few keys as possible move, and a cold upstream gets no more load
+//! than it tolerates.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Holder, KeyRates, KeyTable, Span};
+
+/// Usage of the fullest upstream, relative to the mean, above which keys move.
+const IMBALANCE: f64 = 1.3;
+/// Share of the slots in use below which imbalance costs no waiting.
+const BUSY_USAGE: f64 = 0.35;
+/// Usage of an upstream, relative to the mean, below which it is filled.
+const EMPTY: f64 = 0.1;
+/// Room, as a share of what an upstream should have, below which it counts as filled.
+const ROOM_LEAST: f64 = 0.01;
+/// Most moves for balance in one round.
+const MOVES_MAX: usize = 3;
+
+/// An upstream that may own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Candidate {
+    pub(crate) holder: Holder,
+    /// Requests a second that fill its slots.
+    pub(crate) capacity: f64,
+    /// Most load while it is cold, in requests a second.
+    pub(crate) limit: Option<f64>,
+}
+
+/// Keys and their new owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Move {
+    pub(crate) span: Span,
+    pub(crate) owner: Holder,
+}
+
+struct Shares<'a> {
+    candidates: &'a [Candidate],
+    loads: Vec<f64>,
+}
+
+impl Shares<'_> {
+    fn usage(&self, at: usize) -> f64 {
+        self.loads[at] / self.candidates[at].capacity.max(0.001)
+    }
+
+    /// Load that brings an upstream to a usage, within its limit.
+    fn room(&self, at: usize, usage: f64) -> f64 {
+        let candidate = &self.candidates[at];
+        let wanted = (usage * candidate.capacity).min(candidate.limit.unwrap_or(f64::INFINITY));
+        wanted - self.loads[at]
+    }
+
+    fn emptiest(&self, usage: f64) -> Option<usize> {
+        let all = 0..self.candidates.len();
+        all.max_by(|&a, &b| self.room(a, usage).total_cmp(&self.room(b, usage)))
+    }
+
+    /// Usage at which all load fits, with those at their limits left at them.
+    fn mean_usage(&self, total: f64) -> f64 {
+        let mut is_limited = vec![false; self.candidates.len()];
+        loop {
+            let (mut load, mut capacity) = (total, 0.0);
+            for (candidate, &is_limited) in self.candidates.iter().zip(&is_limited) {
+                match candidate.limit.filter(|_| is_limited) {
+                    Some(limit) => load -= limit,
+                    None => capacity += candidate.capacity,
+                }
+            }
+            let usage = load.max(0.0) / f64::max(capacity, 0.001);
+            let is_over = |c: &Candidate| c.limit.is_some_and(|limit| usage * c.capacity > limit);
+            let over = self
+                .candidates
+                .iter()
+                .zip(&is_limited)
+                .position(|(c, &limited)| !limited && is_over(c));
+            match over {
+                Some(at) => is_limited[at] = true,
+                None => return usage,
+            }
+        }
+    }
+
+    /// The one that gets what nobody has room for: never a cold one if there is another.
+    fn last_resort(&self) -> Option<usize> {
+        let all = 0..self.candidates.len();
+        let rank = |at: usize| (self.candidates[at].limit.is_some(), self.usage(at));
+        all.min_by(|&a, &b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+}
+
+fn measure<'a>(table: &KeyTable, candidates: &'a [Candidate], rates: &KeyRates) -> Shares<'a> {
+    let places: BTreeMap<&Holder, usize> = candidates.iter().enumerate().map(|(at, c)| (&c.holder, at)).collect();
+    let mut loads = vec![0.0; candidates.len()];
+    for part in &table.parts {
+        if let Some(&at) = part.owner.as_ref().and_then(|owner| places.get(owner)) {
+            loads[at] += rates.load(part.span);
+        }
+    }
+    Shares { candidates, loads }
+}
+
+/// Gives keys without a usable owner to the candidates with the most room.
+pub(crate) fn plan_orphans(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<Move> {
+    let usable: BTreeSet<&Holder> = candidates.iter().map(|c| &c.holder).collect();
+    let mut shares = measure(table, candidates, rates);
+    let usage = shares.mean_usage(rates.load(Span::ALL));
+    let mut moves = Vec::new();
+    for part in &table.parts {
+        if part.owner.as_ref().is_some_and(|owner| usable.contains(owner)) {
+            continue;
+        }
+        let mut rest = Some(part.span);
+        while let Some(span) = rest {
+            let Some(mut at) = shares.emptiest(usage) else {
+                return moves;
+            };
+            let room = shares.room(at, usage);
+            if room <= shares.candidates[at].capacity * usage * ROOM_LEAST {
+                at = shares.last_resort().unwrap_or(at);
+            }
+            // A remainder too small to matter is not cut again.
+            let piece = if room <= 0.0 || rates.load(span) <= room * 1.2 {
+                span
+            } else {
+                rates.cut(span, room)
+            };
+            shares.loads[at] += rates.load(piece);
+            moves.push(Move {
+                span: piece,
+                owner: candidates[at].holder.clone(),
+            });
+            rest = (piece.last < span.last).then(|| Span {
+                first: piece.last + 1,
+                last: span.last,
+            });
+        }
+    }
+    moves
+}
+
+/// Moves keys from full upstreams to empty ones.
+pub(crate) fn plan_balance(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<Move> {
+    let mut table = table.clone();
+    let mut moves = Vec::new();
+    while moves.len() < MOVES_MAX {
+        let Some(next) = plan_move(&table, candidates, rates) else {
+            break;
+        };
+        table.assign(next.span, Some(&next.owner));
+        moves.push(next);
+    }
+    moves
+}
+
+fn plan_move(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Option<Move> {
+    let shares = measure(table, candidates, rates);
+    let mean = shares.mean_usage(rates.load(Span::ALL));
+    let all = 0..candidates.len();
+    let fullest = all
+        .clone()
+        .max_by(|&a, &b| shares.usage(a).total_cmp(&shares.usage(b)))?;
+    let emptiest = shares.emptiest(mean)?;
+    let is_over_limit = candidates[fullest]
+        .limit
+        .is_some_and(|limit| shares.loads[fullest] > limit * IMBALANCE);
+    let is_full = shares.usage(fullest) > BUSY_USAGE.max(mean * IMBALANCE);
+    let is_empty = shares.usage(emptiest) < mean * EMPTY;
+    if fullest == emptiest || !(is_full || is_empty || is_over_limit) {
+        return None;
+    }
+    let excess = shares.loads[fullest] - mean * candidates[fullest].capacity;
+    let room = shares.room(emptiest, mean);
+    // An empty upstream is filled even if no other is above the mean by as much.
+    let wanted = if is_empty { room } else { excess.min(room) };
+    if wanted <= mean * candidates[emptiest].capacity * EMPTY {
+        return None;
+    }
+    let parts = table
+        .parts
+        .iter()
+        .filter(|part| part.ready && part.owner.as_ref() == Some(&candidates[fullest].holder));
+    let part = parts.max_by(|a, b| rates.load(a.span).total_cmp(&rates.load(b.span)))?;
+    let piece = rates.cut(part.span, wanted);
+    // Moving a load above the room only moves the hot place on.
+    if rates.load(piece) > 2.0 * wanted || (piece == part.span && shares.loads[emptiest] > 0.0 && !is_empty) {
+        return None;
+    }
+    Some(Move {
+        span: piece,
+        owner: candidates[emptiest].holder.clone(),
+    })
+}
--- /dev/null
+++ b/src/keys/tests.rs
@@ -0,0 +1,493 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use super::{
+    Action, Candidate, GrantOutcome, Grantor, Hold, Holder, KeyRates, KeyTable, Move, ReleaseOutcome, Span,
+    plan_balance, plan_orphans,
+};
+
+const HOLD: Hold = Hold {
+    time: Duration::from_millis(3_200),
+    renewal: Duration::from_millis(800),
+    takeover: Duration::from_secs(12),
+};
+const STEP: Duration = Duration::from_millis(50);
+
+fn holder(name: &str) -> Holder {
+    Holder {
+        upstream: name.parse().expect("a name"),
+        born: 1,
+    }
+}
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        holder: holder(name),
+        capacity: 40.0,
+        limit: None,
+    }
+}
+
+fn table() -> KeyTable {
+    KeyTable::new("placas".parse().expect("a name"), "host-a".parse().expect("a name"), 1)
+}
+
+fn span(first: u16, last: u16) -> Span {
+    Span { first, last }
+}
+
+/// A split must leave no key out, and no two assignments may share a fence.
+#[test]
+fn a_table_stays_whole_when_keys_move() {
+    let mut table = table();
+    table.assign(Span::ALL, Some(&holder("a")));
+    table.assign(span(100, 2_000), Some(&holder("b")));
+    table.assign(span(1_500, 40_000), Some(&holder("c")));
+    assert!(table.is_whole());
+    let fences: BTreeSet<u64> = table.parts.iter().map(|part| part.fence).collect();
+    assert_eq!(fences.len(), table.parts.len());
+    assert_eq!(table.find(1_600).previous, BTreeSet::from([holder("a"), holder("b")]));
+    table.parts.remove(1);
+    assert!(!table.is_whole(), "a gap has to be seen");
+}
+
+/// Keys without an owner go to all candidates in about equal loads.
+#[test]
+fn orphans_are_shared_by_load() {
+    let mut rates = KeyRates::default();
+    rates.note_counts(&(0..1_000).map(|key| (key, 1)).collect());
+    rates.advance(Duration::from_secs(1));
+    let mut table = table();
+    let candidates = [candidate("a"), candidate("b"), candidate("c"), candidate("d")];
+    let moves = plan_orphans(&table, &candidates, &rates);
+    for next in &moves {
+        table.assign(next.span, Some(&next.owner));
+    }
+    assert!(table.is_whole());
+    let mut loads: BTreeMap<&Holder, f64> = BTreeMap::new();
+    for part in &table.parts {
+        *loads.entry(part.owner.as_ref().expect("an owner")).or_default() += rates.load(part.span);
+    }
+    let mean = rates.load(Span::ALL) / 4.0;
+    assert_eq!(loads.len(), 4);
+    assert!(loads.values().all(|load| (load / mean - 1.0).abs() < 0.25), "{loads:?}");
+}
+
+/// A hot range must leave a full owner, and balance must come to rest.
+#[test]
+fn a_hot_range_moves_and_then_rests() {
+    let mut rates = KeyRates::default();
+    rates.note_counts(&(0..200).map(|key| (key, 2)).collect());
+    rates.advance(Duration::from_secs(1));
+    let mut table = table();
+    let candidates = [candidate("a"), candidate("b"), candidate("c")];
+    for next in [
+        (span(0, 20_000), "a"),
+        (span(20_001, 40_000), "b"),
+        (span(40_001, u16::MAX), "c"),
+    ] {
+        table.assign(next.0, Some(&holder(next.1)));
+    }
+    let mut rounds = 0;
+    loop {
+        table.parts.iter_mut().for_each(|part| part.ready = true);
+        let moves = plan_balance(&table, &candidates, &rates);
+        if moves.is_empty() {
+            break;
+        }
+        for next in &moves {
+            table.assign(next.span, Some(&next.owner));
+        }
+        rounds += 1;
+        assert!(rounds < 10, "balance doesn't come to rest");
+    }
+    let load = |name| {
+        let parts = table.parts.iter().filter(|part| part.owner == Some(holder(name)));
+        parts.map(|part| rates.load(part.span)).sum::<f64>()
+    };
+    let mean = rates.load(Span::ALL) / 3.0;
+    assert!(load("a") < mean * 1.5, "{}", load("a"));
+}
+
+/// A cold owner gets no more load than it tolerates, even if it is the emptiest.
+#[test]
+fn a_cold_candidate_stays_within_its_limit() {
+    let mut rates = KeyRates::default();
+    rates.note_counts(&(0..2_000).map(|key| (key, 1)).collect());
+    rates.advance(Duration::from_secs(1));
+    let mut cold = candidate("cold");
+    cold.limit = Some(8.0);
+    let mut table = table();
+    for next in plan_orphans(&table, &[candidate("a"), cold], &rates) {
+        table.assign(next.span, Some(&next.owner));
+    }
+    let parts = table.parts.iter().filter(|part| part.owner == Some(holder("cold")));
+    let load: f64 = parts.map(|part| rates.load(part.span)).sum();
+    assert!(load <= 8.0 * 1.2, "{load}");
+}
+
+/// Orders that wait for the grantor's or the network's next step.
+#[derive(Clone, Debug)]
+struct Flying {
+    arrives: Instant,
+    action: Action,
+    /// The grantor that sent it, and when.
+    grantor: usize,
+    sent: Instant,
+    /// The answer gets back.
+    is_answered: bool,
+}
+
+/// A server as the platform describes it: it takes grants by fence and drops them by its clock.
+#[derive(Clone, Debug, Default)]
+struct Server {
+    seen: BTreeMap<u16, u64>,
+    holds: BTreeMap<u16, (u64, Instant)>,
+}
+
+/// Keys that stand for all: ownership changes at cuts, and these lie in different parts.
+const SAMPLES: [u16; 8] = [0, 7_000, 15_000, 23_000, 31_000, 44_000, 52_000, u16::MAX];
+
+impl Server {
+    fn grant(&mut self, now: Instant, span: Span, fence: u64) -> GrantOutcome {
+        let keys: Vec<u16> = SAMPLES
+            .into_iter()
+            .filter(|key| (span.first..=span.last).contains(key))
+            .collect();
+        if keys
+            .iter()
+            .any(|key| self.seen.get(key).is_some_and(|seen| *seen > fence))
+        {
+            return GrantOutcome::Fenced;
+        }
+        for key in keys {
+            self.seen.insert(key, fence);
+            // Its clock may run 2% slow, so it holds the keys for longer.
+            self.holds.insert(key, (fence, now + HOLD.time + HOLD.time / 50));
+        }
+        GrantOutcome::Taken
+    }
+
+    fn release(&mut self, span: Span, fence: u64) {
+        for key in SAMPLES.into_iter().filter(|key| (span.first..=span.last).contains(key)) {
+            let seen = self.seen.entry(key).or_default();
+            *seen = (*seen).max(fence);
+            if self.holds.get(&key).is_some_and(|(held, _)| *held <= fence) {
+                self.holds.remove(&key);
+            }
+        }
+    }
+}
+
+/// Judges what servers hold, knowing only the promise.
+#[derive(Debug, Default)]
+struct Checker {
+    /// Highest fence of each key and the server that took it.
+    fences: BTreeMap<u16, (u64, usize)>,
+}
+
+impl Checker {
+    fn check(&mut self, now: Instant, servers: &[Server]) -> Result<(), String> {
+        for key in SAMPLES {
+            let mut owners = Vec::new();
+            for (at, server) in servers.iter().enumerate() {
+                if let Some((fence, ends)) = server.holds.get(&key).filter(|(_, ends)| *ends > now) {
+                    owners.push((at, *fence, *ends));
+                    let (top, by) = self.fences.entry(key).or_insert((*fence, at));
+                    if *by != at && *fence <= *top {
+                        return Err(format!(
+                            "key {key}: fence {fence} of server {at} is not above {top} of {by}"
+                        ));
+                    }
+                    if *fence > *top {
+                        (*top, *by) = (*fence, at);
+                    }
+                }
+            }
+            if owners.len() > 1 {
+                return Err(format!("key {key} has the owners {owners:?}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Event {
+    Wait(u8),
+    /// Keys go to a server.
+    Move(u16, u16, usize),
+    /// Orders to a server get lost from now on, or arrive again.
+    Cut(usize, bool),
+    /// Answers of a server get lost from now on, or arrive again.
+    Deaf(usize, bool),
+    /// A new grantor takes over; the old one goes on renewing for a while, or has stopped.
+    TakeOver(bool),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (1_u8..60).prop_map(Event::Wait),
+        3 => (0_u16..=u16::MAX, 0_u16..=u16::MAX, 0_usize..3)
+            .prop_map(|(a, b, server)| Event::Move(a.min(b), a.max(b), server)),
+        1 => (0_usize..3, any::<bool>()).prop_map(|(server, cut)| Event::Cut(server, cut)),
+        1 => (0_usize..3, any::<bool>()).prop_map(|(server, deaf)| Event::Deaf(server, deaf)),
+        1 => any::<bool>().prop_map(Event::TakeOver),
+    ]
+}
+
+struct World {
+    now: Instant,
+    servers: Vec<Server>,
+    is_cut: Vec<bool>,
+    is_deaf: Vec<bool>,
+    flying: Vec<Flying>,
+    /// Grantors, with the time until which an old one renews.
+    grantors: Vec<(Grantor, Option<Instant>)>,
+    stored: KeyTable,
+    checker: Checker,
+}
+
+const NAMES: [&str; 3] = ["s0", "s1", "s2"];
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut stored = table();
+        stored.assign(Span::ALL, Some(&holder(NAMES[0])));
+        Self {
+            now,
+            servers: vec![Server::default(); 3],
+            is_cut: vec![false; 3],
+            is_deaf: vec![false; 3],
+            flying: Vec::new(),
+            grantors: vec![(Grantor::take_over(now, stored.clone(), HOLD), None)],
+            stored,
+            checker: Checker::default(),
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        self.now += STEP;
+        let now = self.now;
+        let newest = self.grantors.len() - 1;
+        for at in 0..self.grantors.len() {
+            if self.grantors[at].1.is_some_and(|ends| ends <= now) {
+                continue;
+            }
+            let actions = self.grantors[at].0.tick(now, |_| false, |_| true);
+            for action in actions {
+                match action {
+                    // The store shuts out all epochs but the newest.
+                    Action::Save(table) if at == newest => {
+                        self.stored = table.clone();
+                        self.grantors[at].0.note_saved(table.last_fence);
+                    }
+                    Action::Save(_) => {}
+                    other => self.send(at, other),
+                }
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|f| f.arrives <= now);
+        self.flying = later;
+        for flying in due {
+            self.arrive(&flying);
+        }
+        self.checker.check(now, &self.servers)
+    }
+
+    fn send(&mut self, grantor: usize, action: Action) {
+        let to = server_of(&action);
+        if self.is_cut[to] {
+            self.answer(
+                grantor,
+                &action,
+                self.now,
+                GrantOutcome::Broken,
+                ReleaseOutcome::Unknown,
+            );
+            return;
+        }
+        let is_answered = !self.is_deaf[to];
+        self.flying.push(Flying {
+            arrives: self.now,
+            action,
+            grantor,
+            sent: self.now,
+            is_answered,
+        });
+    }
+
+    fn arrive(&mut self, flying: &Flying) {
+        let to = server_of(&flying.action);
+        let (mut granted, mut released) = (GrantOutcome::Unknown, ReleaseOutcome::Unknown);
+        match &flying.action {
+            Action::Grant { span, fence, .. } => granted = self.servers[to].grant(self.now, *span, *fence),
+            Action::Release { span, fence, .. } => {
+                self.servers[to].release(*span, *fence);
+                released = ReleaseOutcome::Released(None);
+            }
+            Action::Save(_) | Action::Probe(_) => {}
+        }
+        if !flying.is_answered {
+            (granted, released) = (GrantOutcome::Unknown, ReleaseOutcome::Unknown);
+        }
+        self.answer(flying.grantor, &flying.action, flying.sent, granted, released);
+    }
+
+    fn answer(&mut self, at: usize, action: &Action, sent: Instant, granted: GrantOutcome, released: ReleaseOutcome) {
+        let grantor = &mut self.grantors[at].0;
+        match action {
+            Action::Grant { holder, fence, .. } => {
+                grantor.note_grant(self.now, holder, *fence, sent, granted);
+            }
+            Action::Release { holder, fence, .. } => grantor.note_release(self.now, holder, *fence, released),
+            Action::Save(_) | Action::Probe(_) => {}
+        }
+    }
+
+    fn play(&mut self, event: &Event) -> Result<(), String> {
+        match event {
+            Event::Wait(steps) => {
+                for _ in 0..*steps {
+                    self.step()?;
+                }
+            }
+            Event::Move(first, last, to) => {
+                let owner = holder(NAMES[*to]);
+                let span = span(*first, *last);
+                if let Some((grantor, _)) = self.grantors.last_mut() {
+                    grantor.apply(&[Move { span, owner }]);
+                }
+            }
+            Event::Cut(server, is_cut) => self.is_cut[*server] = *is_cut,
+            Event::Deaf(server, is_deaf) => self.is_deaf[*server] = *is_deaf,
+            Event::TakeOver(has_stopped) => {
+                let ends = self.now + if *has_stopped { Duration::ZERO } else { HOLD.takeover };
+                for (_, until) in &mut self.grantors {
+                    until.get_or_insert(ends);
+                }
+                let mut next = Grantor::take_over(self.now, self.stored.clone(), HOLD);
+                // Only if all earlier ones have stopped may the new one rely on it.
+                if self
+                    .grantors
+                    .iter()
+                    .all(|(_, until)| until.is_some_and(|until| until <= self.now))
+                {
+                    next.note_stopped(self.now);
+                }
+                self.grantors.push((next, None));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn server_of(action: &Action) -> usize {
+    let holder = match action {
+        Action::Grant { holder, .. } | Action::Release { holder, .. } | Action::Probe(holder) => holder,
+        Action::Save(_) => unreachable!("a table is saved, not sent"),
+    };
+    NAMES
+        .iter()
+        .position(|name| *name == holder.upstream.as_str())
+        .expect("a server of the test")
+}
+
+proptest! {
+    /// Guards against two owners of a key: over moves, cut servers, lost answers and grantors
+    /// that go on after another took over.
+    #[test]
+    fn a_key_never_has_two_owners(events in prop::collection::vec(event(), 1..40)) {
+        let mut world = World::new();
+        for event in &events {
+            if let Err(error) = world.play(event) {
+                prop_assert!(false, "{}", error);
+            }
+        }
+    }
+
+    /// Guards against keys that stay without an owner after all faults have ended.
+    #[test]
+    fn all_keys_are_served_after_the_faults(events in prop::collection::vec(event(), 1..30)) {
+        let mut world = World::new();
+        for event in &events {
+            if let Err(error) = world.play(event) {
+                prop_assert!(false, "{}", error);
+            }
+        }
+        world.is_cut.fill(false);
+        world.is_deaf.fill(false);
+        // The longest wait is for an old grantor's last grant to run out.
+        let steps = (HOLD.takeover + HOLD.time * 3).as_millis() / STEP.as_millis();
+        for _ in 0..steps {
+            if let Err(error) = world.step() {
+                prop_assert!(false, "{}", error);
+            }
+        }
+        prop_assert!(world.stored.parts.iter().all(|part| part.ready), "{:?}", world.stored);
+        for key in SAMPLES {
+            let held = world.servers.iter().filter(|s| s.holds.get(&key).is_some_and(|(_, ends)| *ends > world.now));
+            prop_assert_eq!(held.count(), 1, "key {}", key);
+        }
+    }
+}
+
+/// The checker must object to two owners and to a fence that is not above the last.
+#[test]
+fn the_checker_objects_to_bad_histories() {
+    let now = Instant::now();
+    let mut servers = vec![Server::default(); 2];
+    servers[0].grant(now, Span::ALL, 5);
+    servers[1].grant(now, Span::ALL, 6);
+    assert!(Checker::default().check(now, &servers).is_err());
+    let mut checker = Checker::default();
+    let mut servers = vec![Server::default(); 2];
+    servers[0].grant(now, Span::ALL, 5);
+    checker.check(now, &servers).expect("one owner");
+    servers[0].release(Span::ALL, 5);
+    servers[1].grant(now, Span::ALL, 4);
+    assert!(checker.check(now, &servers).is_err());
+}
+
+/// A grant must not go out for an assignment that no other grantor could know of.
+#[test]
+fn nothing_is_granted_before_it_is_saved() {
+    let now = Instant::now();
+    let mut grantor = Grantor::take_over(now, table(), HOLD);
+    let owner = holder("a");
+    grantor.apply(&[Move { span: Span::ALL, owner }]);
+    let actions = grantor.tick(now, |_| false, |_| true);
+    assert!(matches!(actions.as_slice(), [Action::Save(_)]), "{actions:?}");
+    let fence = grantor.table().last_fence;
+    grantor.note_saved(fence);
+    let actions = grantor.tick(now, |_| false, |_| true);
+    assert!(matches!(actions.as_slice(), [Action::Grant { .. }]), "{actions:?}");
+}
+
+/// After a broken connection the upstream may be a new run, which must not get the old fence.
+#[test]
+fn a_broken_connection_leads_to_a_new_fence() {
+    let now = Instant::now();
+    let mut grantor = Grantor::take_over(now, table(), HOLD);
+    let owner = holder("a");
+    grantor.apply(&[Move {
+        span: Span::ALL,
+        owner: owner.clone(),
+    }]);
+    grantor.tick(now, |_| false, |_| true);
+    let fence = grantor.table().last_fence;
+    grantor.note_saved(fence);
+    grantor.tick(now, |_| false, |_| true);
+    grantor.note_grant(now, &owner, fence, now, GrantOutcome::Taken);
+    assert!(grantor.table().parts[0].ready);
+    grantor.note_grant(now, &owner, fence, now, GrantOutcome::Broken);
+    assert!(grantor.table().parts[0].fence > fence);
+    assert!(grantor.table().parts[0].ready, "requests may still go there");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,13 @@
 mod settings;
 mod tables;
 
+mod budget;
+mod catalog;
+mod fleet;
+mod gateway;
+mod keys;
+mod platform;
+
 mod fold;
 mod log;
 mod records;
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,142 @@
+//! Decodes the operators' configuration.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::units::{read_optional_time, read_time, read_version};
+use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Effect, Pool, Route, Target};
+use crate::types::{Offset, PoolName, RouteName};
+
+/// Rate that a cold upstream of a pool without a stated rate is assumed to bear, in requests a second.
+const COLD_RATE_DEFAULT: f64 = 1e9;
+/// Attempts of a route that states none.
+const ATTEMPTS_DEFAULT: u32 = 1;
+
+#[derive(Deserialize)]
+struct WireConfiguration {
+    #[serde(deserialize_with = "read_version")]
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: RouteName,
+    host: String,
+    path_prefix: String,
+    kind: WireKind,
+    #[serde(deserialize_with = "read_time")]
+    timeout: Duration,
+    #[serde(default, deserialize_with = "read_optional_time")]
+    target_latency: Option<Duration>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<PoolName>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    max_attempts: Option<u32>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireKind {
+    Safe,
+    Unsafe,
+    Download,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: PoolName,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: PoolName,
+    max_connections: u32,
+    #[serde(default, deserialize_with = "read_optional_time")]
+    cold_start: Option<Duration>,
+    cold_per_s: Option<f64>,
+    #[serde(default)]
+    sharded: bool,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    #[serde(deserialize_with = "read_time")]
+    idle_timeout: Duration,
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+///
+/// Fails if the text is no configuration; the caller keeps the one that it has.
+pub(crate) fn decode_catalog(offset: Offset, text: &[u8]) -> Result<Catalog, serde_json::Error> {
+    let wire = serde_json::from_slice::<WireConfiguration>(text)?;
+    let mut routes: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
+    for route in wire.routes.into_iter().map(convert_route) {
+        routes
+            .entry(route.host.clone())
+            .or_default()
+            .insert(route.prefix.clone(), route);
+    }
+    let pools = wire.services.into_iter().map(convert_pool);
+    Ok(Catalog {
+        version: CatalogVersion(wire.version),
+        offset,
+        routes,
+        pools: pools.map(|pool| (pool.name.clone(), pool)).collect(),
+        limits: CallerLimits {
+            header_bytes: wire.limits.max_header_bytes,
+            body_bytes: wire.limits.max_body_bytes,
+            idle_time: wire.limits.idle_timeout,
+        },
+    })
+}
+
+fn convert_route(wire: WireRoute) -> Route {
+    let targets = match wire.service {
+        Some(pool) => vec![Target { pool, weight: 1 }],
+        None => wire.traffic_split.into_iter().map(convert_share).collect(),
+    };
+    Route {
+        name: wire.name,
+        host: wire.host.to_ascii_lowercase(),
+        prefix: wire.path_prefix,
+        effect: match wire.kind {
+            WireKind::Safe => Effect::Idempotent,
+            WireKind::Unsafe => Effect::Once,
+            WireKind::Download => Effect::Download,
+        },
+        timeout: wire.timeout,
+        objective: wire.target_latency.unwrap_or(wire.timeout),
+        priority: wire.priority,
+        attempts: wire.max_attempts.unwrap_or(ATTEMPTS_DEFAULT).max(1),
+        targets,
+    }
+}
+
+fn convert_share(wire: WireShare) -> Target {
+    Target {
+        pool: wire.service,
+        weight: wire.weight,
+    }
+}
+
+fn convert_pool(wire: WireService) -> Pool {
+    Pool {
+        name: wire.name,
+        connections: wire.max_connections,
+        cold_rate: wire.cold_per_s.unwrap_or(COLD_RATE_DEFAULT),
+        cold_time: wire.cold_start.unwrap_or_default(),
+        is_sharded: wire.sharded,
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,55 @@
+//! Speaks to the users' platform: names, formats and calls.
+//!
+//! Nothing in this folder decides. Each name on the wire is decoded here, once, into the types of
+//! the other modules; nothing outside knows the platform's names.
+
+mod bounds;
+mod configuration;
+mod headers;
+mod orders;
+mod servers;
+mod store;
+mod units;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use bounds::{Bounds, decode_bounds};
+pub(crate) use configuration::decode_catalog;
+pub(crate) use headers::{
+    DEADLINE, EXPECTED_INSTANCE, INSTANCE, NOT_EXECUTED, REQUEST_ID, SHARD_KEY, SIGNATURE, read_load,
+};
+pub(crate) use orders::{Order, encode_order, read_handover};
+pub(crate) use servers::decode_server;
+pub(crate) use store::{Member, Record, Store, StoreError, Tail};
+
+/// Topic of the operators' records.
+pub(crate) const OPERATOR_TOPIC: &str = "keyed.op";
+/// Topic of the upstreams' announcements.
+pub(crate) const UPSTREAM_TOPIC: &str = "keyed.servers";
+/// Topic of the hosts' own records.
+pub(crate) const HOST_TOPIC: &str = "keyed.ragworthub";
+
+/// Key of the configuration in the operators' topic.
+const CONFIGURATION_KEY: &str = "config";
+/// Start of the keys that take an availability zone out of service.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
+/// What a record of the operators is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum OperatorKey {
+    Configuration,
+    Evacuation(String),
+    Other,
+}
+
+/// Reads the key of an operators' record.
+pub(crate) fn read_operator_key(key: &str) -> OperatorKey {
+    if key == CONFIGURATION_KEY {
+        return OperatorKey::Configuration;
+    }
+    match key.strip_prefix(EVACUATION_PREFIX) {
+        Some(zone) => OperatorKey::Evacuation(zone.to_owned()),
+        None => OperatorKey::Other,
+    }
+}
--- /dev/null
+++ b/src/platform/orders.rs
@@ -0,0 +1,89 @@
+//! Orders to upstreams about the keys that they hold.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, Method, Request};
+use http_body_util::Full;
+use serde::Serialize;
+
+use super::headers::{EXPECTED_INSTANCE, HANDOVER};
+use super::units::format_time;
+use crate::keys::Span;
+use crate::types::UpstreamName;
+
+/// An order to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// Holds the keys for a time from the arrival of the order.
+    Grant {
+        span: Span,
+        fence: u64,
+        hold: Duration,
+        handover: Option<String>,
+    },
+    /// Takes no new work on the keys.
+    Release { span: Span, fence: u64 },
+}
+
+#[derive(Serialize)]
+struct WireOrder<'a> {
+    from: u16,
+    /// The last key, inclusive.
+    target: u16,
+    fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hold_time: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    handover: Option<&'a str>,
+}
+
+/// Builds the call that gives an order to one upstream and no other.
+///
+/// # Panics
+///
+/// Never in practice: a name of an upstream is a valid header value.
+pub(crate) fn encode_order(order: &Order, upstream: &UpstreamName) -> Request<Full<Bytes>> {
+    let (path, wire) = match order {
+        Order::Grant {
+            span,
+            fence,
+            hold,
+            handover,
+        } => (
+            "/grant",
+            WireOrder {
+                from: span.first,
+                target: span.last,
+                fence: *fence,
+                hold_time: Some(format_time(*hold)),
+                handover: handover.as_deref(),
+            },
+        ),
+        Order::Release { span, fence } => (
+            "/release",
+            WireOrder {
+                from: span.first,
+                target: span.last,
+                fence: *fence,
+                hold_time: None,
+                handover: None,
+            },
+        ),
+    };
+    let body = serde_json::to_vec(&wire).expect("numbers and texts have a JSON form");
+    Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(HOST, "upstream")
+        .header(CONTENT_TYPE, "application/json")
+        .header(EXPECTED_INSTANCE, upstream.as_str())
+        .body(Full::new(Bytes::from(body)))
+        .expect("a fixed path and valid headers")
+}
+
+/// Reads the token that an upstream gives when it has released keys.
+pub(crate) fn read_handover(headers: &HeaderMap) -> Option<String> {
+    headers.get(HANDOVER)?.to_str().ok().map(ToOwned::to_owned)
+}
--- /dev/null
+++ b/src/platform/servers.rs
@@ -0,0 +1,58 @@
+//! Decodes what upstreams announce of themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::units::read_time;
+use crate::catalog::{Announcement, Phase};
+use crate::types::{PoolName, UpstreamName, Zone};
+
+#[derive(Deserialize)]
+struct WireServer {
+    service: PoolName,
+    address: SocketAddr,
+    zone: Zone,
+    slots: u32,
+    state: WireState,
+    #[serde(deserialize_with = "read_time")]
+    cold_left: Duration,
+    seq: u64,
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// Decodes an announcement; the key of its record is the upstream's name.
+///
+/// # Errors
+///
+/// Fails if the record doesn't name an upstream that can be used.
+pub(crate) fn decode_server(key: &str, text: &[u8]) -> Result<Announcement, String> {
+    let upstream: UpstreamName = key.parse().map_err(|e| format!("name of the upstream: {e}"))?;
+    let wire = serde_json::from_slice::<WireServer>(text).map_err(|e| e.to_string())?;
+    if wire.slots == 0 {
+        return Err("an upstream without slots".to_owned());
+    }
+    Ok(Announcement {
+        upstream,
+        pool: wire.service,
+        address: wire.address,
+        zone: wire.zone,
+        slots: wire.slots,
+        phase: match wire.state {
+            WireState::Ready => Phase::Ready,
+            WireState::Draining => Phase::Draining,
+        },
+        cold_left: wire.cold_left,
+        born: wire.born,
+        sequence: wire.seq,
+    })
+}
--- /dev/null
+++ b/src/telemetry/gateway.rs
@@ -0,0 +1,122 @@
+//! Counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::types::{Reason, RouteName};
+
+/// Upper bounds of the buckets of times, in seconds; from a fast answer to the longest timeout.
+const TIME_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 8.0];
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RouteStatus {
+    route: RouteName,
+    status: u16,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OfRoute {
+    route: RouteName,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OfReason {
+    reason: &'static str,
+}
+
+/// Metrics of a gateway.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    answers: Family<RouteStatus, Counter>,
+    refusals: Family<OfReason, Counter>,
+    failures: Family<OfReason, Counter>,
+    retries: Family<OfReason, Counter>,
+    times: Family<OfRoute, Histogram>,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ragworthub"),
+            answers: Family::default(),
+            refusals: Family::default(),
+            failures: Family::default(),
+            retries: Family::default(),
+            times: Family::new_with_constructor(|| Histogram::new(TIME_BOUNDS)),
+        };
+        let r = &mut metrics.registry;
+        r.register(
+            "answers",
+            "Answers of upstreams by route and status",
+            metrics.answers.clone(),
+        );
+        r.register(
+            "refusals",
+            "Requests without an upstream's answer by reason",
+            metrics.refusals.clone(),
+        );
+        r.register("failures", "Attempts that failed by reason", metrics.failures.clone());
+        r.register(
+            "retries",
+            "Further attempts by the reason of the last failure",
+            metrics.retries.clone(),
+        );
+        r.register(
+            "answer_seconds",
+            "Time to the head of an answer by route",
+            metrics.times.clone(),
+        );
+        metrics
+    }
+
+    pub(crate) fn count_answer(&self, route: &RouteName, status: u16) {
+        let labels = RouteStatus {
+            route: route.clone(),
+            status,
+        };
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn observe_time(&self, route: &RouteName, time: Duration) {
+        let labels = OfRoute { route: route.clone() };
+        self.times.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn count_refusal(&self, reason: Reason) {
+        self.refusals
+            .get_or_create(&OfReason {
+                reason: reason.as_str(),
+            })
+            .inc();
+    }
+
+    pub(crate) fn count_failure(&self, reason: Reason) {
+        self.failures
+            .get_or_create(&OfReason {
+                reason: reason.as_str(),
+            })
+            .inc();
+    }
+
+    pub(crate) fn count_retry(&self, reason: Reason) {
+        self.retries
+            .get_or_create(&OfReason {
+                reason: reason.as_str(),
+            })
+            .inc();
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -1,7 +1,11 @@
 //! Logs as JSON lines on standard error.
 
+use std::sync::Mutex;
+
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
+use super::lines::LineSink;
+
 /// Builds the logger of the process.
 pub(crate) fn build_logger(host: &str) -> Logger {
     let json = slog_json::Json::default(std::io::stderr()).fuse();
@@ -17,3 +21,13 @@
 pub(crate) fn quiet_logger(log: &Logger) -> Logger {
     Logger::root(LevelFilter::new(log.clone(), Level::Warning).fuse(), o!())
 }
+
+/// Builds a logger that writes JSON lines to standard output.
+pub(crate) fn build_line_logger(host: &str) -> Logger {
+    let json = slog_json::Json::default(LineSink::start(std::io::stdout()));
+    let drain = Mutex::new(json).fuse();
+    Logger::root(
+        LevelFilter::new(drain, Level::Info).fuse(),
+        o!("host" => host.to_owned()),
+    )
+}
