Give each process of a grantor an epoch of its own

Cause: a host that is killed and back within the group's time to live keeps its membership, so its new process took over under the epoch of the old one.

Ruled out: continuing at the number that the store expects. An append of the old process that is still on its way would take that number, and the new one's table would count as saved though it isn't.

Change: a process leaves the group before it first joins, and again if its epoch turns out to be used.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -93,6 +93,8 @@
     addresses: RefCell<BTreeMap<Holder, SocketAddr>>,
     endpoints: RefCell<BTreeMap<Holder, Rc<Endpoint>>>,
     generation: Cell<u64>,
+    /// The member has left since this process started, so its next epoch is a new one.
+    is_new_member: Cell<bool>,
 }
 
 impl std::fmt::Debug for Grants {
@@ -184,6 +186,17 @@
 
 async fn elect(gateway: Rc<Gateway>) {
     while !gateway.is_stopping.get() {
+        if !gateway.grants.is_new_member.get() {
+            // An earlier process of this host may have saved under the epoch that the group still has.
+            match gateway.store.leave(&member(&gateway)).await {
+                Ok(()) => gateway.grants.is_new_member.set(true),
+                Err(error) => {
+                    warn!(gateway.log, "group not left before joining"; "error" => %error);
+                    sleep(JOIN_PERIOD).await;
+                    continue;
+                }
+            }
+        }
         let started = Instant::now();
         let generation = gateway.grants.generation.get();
         let joined = gateway
@@ -588,6 +601,12 @@
                 *gateway.grants.led.borrow_mut() = None;
                 return false;
             }
+            Err(StoreError::OutOfSequence(text)) => {
+                warn!(gateway.log, "grantor stops"; "why" => "its epoch was used before", "answer" => text);
+                gateway.grants.is_new_member.set(false);
+                *gateway.grants.led.borrow_mut() = None;
+                return false;
+            }
             Err(error) => {
                 warn!(gateway.log, "owners of keys not saved"; "pool" => %save.table.pool, "error" => %error);
                 sleep(TICK_PERIOD).await;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -40,6 +40,8 @@
     Unknown(String),
     /// a newer epoch of the producer is in force: {0}
     Fenced(String),
+    /// another append of the same epoch came before: {0}
+    OutOfSequence(String),
     /// the records asked for are gone; the oldest one left has offset {0}
     Gone(Offset),
 }
@@ -111,6 +113,11 @@
     end_offset: u64,
 }
 
+#[derive(Deserialize)]
+struct WireConflict {
+    why: String,
+}
+
 #[derive(Deserialize)]
 struct WireGone {
     first: u64,
@@ -332,7 +339,7 @@
         StatusCode::GONE => {
             Err(parse::<WireGone>(&body).map_or_else(|e| e, |gone| StoreError::Gone(Offset(gone.first))))
         }
-        StatusCode::CONFLICT => Err(StoreError::Fenced(text())),
+        StatusCode::CONFLICT => Err(read_conflict(&body, text())),
         status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
             Err(StoreError::Refused(text()))
         }
@@ -340,6 +347,14 @@
     }
 }
 
+/// Tells a newer epoch from a wrong number in the same one.
+fn read_conflict(body: &[u8], text: String) -> StoreError {
+    match serde_json::from_slice::<WireConflict>(body) {
+        Ok(conflict) if conflict.why == "seq" => StoreError::OutOfSequence(text),
+        Ok(_) | Err(_) => StoreError::Fenced(text),
+    }
+}
+
 fn parse<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(body).map_err(|e| StoreError::Unknown(e.to_string()))
 }
