Stand-ins of the platform's store and servers; process tests of the gateway; refuse double framing

Cause: the process tests ran on an interface that nobody speaks any more. A request with Content-Length and Transfer-Encoding was served, as the HTTP library drops the length before the request can be looked at.

Change: standins/ gets the store (topics, keyed topics, groups, faults) and the server (grants, 421, faults) of the platform's protocol, and tests/gateway.rs plays the binary between them and a plain client. The gateway keeps the bytes of a head and answers 400 if it has both; the test failed for one order of the headers before.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -12,11 +12,12 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
+use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::framing::{CallerStream, HeadBytes};
 use super::request::serve;
 use super::state::Gateway;
 
@@ -48,11 +49,15 @@
 /// Fails with the address that can't be used.
 pub(crate) async fn listen(gateway: &Gateway) -> Result<Listeners, String> {
     let listen = &gateway.settings.listen;
-    Ok(Listeners {
+    let listeners = Listeners {
         callers: bind(listen.callers).await?,
         ready: bind(listen.ready).await?,
         metrics: bind(listen.metrics).await?,
-    })
+    };
+    let address = |listener: &TcpListener| listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
+    info!(gateway.log, "listening"; "callers" => address(&listeners.callers), "ready" => address(&listeners.ready),
+        "metrics" => address(&listeners.metrics));
+    Ok(listeners)
 }
 
 /// Starts to accept connections.
@@ -101,7 +106,9 @@
         None => (HEAD_MAX, IDLE_LIMIT),
     };
     let state = Rc::clone(&gateway);
-    let service = service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request));
+    let head = HeadBytes::default();
+    let stream = CallerStream::new(stream, head.clone());
+    let service = service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request, head.clone()));
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod connect;
 mod connections;
+mod framing;
 mod grants;
 mod peers;
 mod request;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -46,15 +46,16 @@
     let address = gateway.settings.listen.peers;
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.map_err(|e| format!("can't receive datagrams on {address}: {e}"))?);
-    spawn_local(announce(Rc::clone(gateway)));
+    let peers = socket.local_addr().map_err(|e| e.to_string())?;
+    spawn_local(announce(Rc::clone(gateway), peers));
     spawn_local(receive(Rc::clone(gateway), Rc::clone(&socket)));
     spawn_local(send_counts(Rc::clone(gateway), socket));
     Ok(())
 }
 
-async fn announce(gateway: Rc<Gateway>) {
+async fn announce(gateway: Rc<Gateway>, peers: SocketAddr) {
     let presence = Presence {
-        peers: gateway.settings.listen.peers,
+        peers,
         zone: gateway.settings.zone.clone(),
     };
     let text = serde_json::to_vec(&presence).expect("addresses and names have a JSON form");
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -19,6 +19,7 @@
 
 use super::answer::{AnswerBody, Flight, Refusal, strip_hop_headers};
 use super::connections::Sender;
+use super::framing::HeadBytes;
 use super::state::Gateway;
 use crate::catalog::{Catalog, Effect, Pool, Route, find_target};
 use crate::fleet::{Need, Outcome, Preference, Upstream, expect_time, pick_upstream};
@@ -92,10 +93,11 @@
 pub(crate) async fn serve(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
+    bytes: HeadBytes,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = Instant::now();
     let id = request.headers().get(REQUEST_ID).cloned();
-    let response = match accept(&gateway, arrived, id.clone(), request).await {
+    let response = match accept(&gateway, arrived, id.clone(), request, &bytes).await {
         Ok(mut job) => {
             let result = run(&gateway, &mut job).await;
             log_end(&gateway, &job, &result);
@@ -109,6 +111,7 @@
             refusal.into_response(id.as_ref())
         }
     };
+    bytes.clear();
     Ok(response)
 }
 
@@ -144,12 +147,13 @@
     arrived: Instant,
     id: Option<HeaderValue>,
     request: Request<Incoming>,
+    bytes: &HeadBytes,
 ) -> Result<Job, Refusal> {
     let refuse = |reason| Refusal::not_run(reason, None);
     let id = id.ok_or(refuse(Reason::BadHeader))?;
     let headers = request.headers();
     // Two lengths could be read differently by the next parser on the way.
-    if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
+    if headers.contains_key(TRANSFER_ENCODING) && bytes.has_length() {
         return Err(refuse(Reason::BadHeader));
     }
     let catalog = gateway.catalog.borrow().clone();
--- /dev/null
+++ b/standins/src/bin/operator.rs
@@ -0,0 +1,31 @@
+//! Writes a record of the operators to the store, as the users' operators do.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Parser;
+use standins::server::append;
+
+/// Writes a record of the operators to the store
+#[derive(Parser)]
+struct Arguments {
+    /// Address of the store
+    #[arg(long, default_value = "127.0.0.1:7000")]
+    store: SocketAddr,
+    /// Key of the record
+    #[arg(long, default_value = "config")]
+    key: String,
+    /// File with the record's value; without it the record is removed
+    #[arg(long)]
+    file: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), String> {
+    let arguments = Arguments::parse();
+    let value = match &arguments.file {
+        Some(file) => std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?,
+        None => Vec::new(),
+    };
+    append(arguments.store, "keyed.op", &arguments.key, &value).await
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,7 +1,13 @@
-//! Development stand-ins for the platform's log and host list, and for upstreams.
+//! Development stand-ins for the users' platform: its store, and the servers behind the router;
+//! beside them those of the host that runs without the platform.
 //!
-//! Each is a library function that starts a server, so that tests can run it in their own
-//! process, and a small binary in `src/bin`.
+//! Each is a library type that runs a server, so that tests can run it in their own process, and a
+//! small binary in `src/bin`.
 
+mod http;
 pub mod platform;
+pub mod server;
+pub mod store;
 pub mod upstream;
+
+pub use http::bind;
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,333 @@
+//! Stand-in for a server of the users: it announces itself in the store, takes grants and runs requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{HeaderName, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::http::{Reply, Whole, reply, serve};
+
+/// Time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+
+/// How the stand-in is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Name, unique over all services.
+    pub name: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of the store in which it announces itself.
+    pub store: SocketAddr,
+    /// Address on which it serves.
+    pub address: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// It runs only requests for keys that were granted to it.
+    pub is_sharded: bool,
+}
+
+/// How the stand-in misbehaves.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServerFault {
+    /// Requests run and their connection is cut.
+    pub lose_answers: bool,
+    /// Requests run and fail with 500.
+    pub fail: bool,
+    /// Requests are refused as not run.
+    pub shed: bool,
+    /// Answers carry the id of another request.
+    pub crossed: bool,
+    /// It announces that it leaves.
+    pub drain: bool,
+}
+
+/// What the stand-in ran; tests judge promises by it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Runs {
+    /// Runs by request id.
+    pub requests: BTreeMap<String, u64>,
+    /// Times that each key's grant was taken, with the fence.
+    pub grants: Vec<(u16, u16, u64)>,
+}
+
+#[derive(Debug)]
+struct Grant {
+    first: u16,
+    last: u16,
+    fence: u64,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    grants: Vec<Grant>,
+    seen: u64,
+    fault: ServerFault,
+    runs: Runs,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Server {
+    setup: Setup,
+    born: u64,
+    slots: Semaphore,
+    running: AtomicU64,
+    state: Mutex<State>,
+}
+
+impl Server {
+    /// Makes a stand-in.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self {
+            born: u64::try_from(born.as_millis()).unwrap_or_default(),
+            slots: Semaphore::new(setup.slots),
+            running: AtomicU64::new(0),
+            state: Mutex::default(),
+            setup,
+        }
+    }
+
+    /// Serves and announces itself until the process ends.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        tokio::spawn(announce(Arc::clone(&self)));
+        let handle = move |request| {
+            let server = Arc::clone(&self);
+            async move { server.handle(request).await }
+        };
+        serve(listener, handle).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, request: Whole) -> Reply {
+        match request.uri().path() {
+            "/standin/fault" => {
+                self.lock().fault = serde_json::from_slice(request.body()).unwrap_or_default();
+                reply(StatusCode::OK, "")
+            }
+            "/standin/runs" => {
+                let runs = serde_json::to_string(&self.lock().runs).unwrap_or_default();
+                reply(StatusCode::OK, runs)
+            }
+            "/grant" => self.grant(request.body()),
+            "/release" => self.release(request.body()),
+            _ => self.work(&request).await,
+        }
+    }
+
+    fn grant(&self, body: &Bytes) -> Reply {
+        let Some(order) = Order::read(body) else {
+            return reply(StatusCode::BAD_REQUEST, "");
+        };
+        let mut state = self.lock();
+        let overlaps = |grant: &Grant| grant.first <= order.last && order.first <= grant.last;
+        let is_fenced = state.grants.iter().any(|g| overlaps(g) && g.fence > order.fence);
+        if is_fenced {
+            return reply(StatusCode::CONFLICT, "");
+        }
+        state
+            .grants
+            .retain(|g| !(g.first == order.first && g.last == order.last));
+        state.grants.push(Grant {
+            first: order.first,
+            last: order.last,
+            fence: order.fence,
+            until: Instant::now() + order.hold,
+        });
+        state.seen = state.seen.max(order.fence);
+        state.runs.grants.push((order.first, order.last, order.fence));
+        reply(StatusCode::OK, "")
+    }
+
+    fn release(&self, body: &Bytes) -> Reply {
+        let Some(order) = Order::read(body) else {
+            return reply(StatusCode::BAD_REQUEST, "");
+        };
+        let now = Instant::now();
+        let mut state = self.lock();
+        let mut kept = Vec::new();
+        for grant in std::mem::take(&mut state.grants) {
+            if grant.last < order.first || order.last < grant.first || grant.fence > order.fence {
+                kept.push(grant);
+                continue;
+            }
+            let piece = |first, last| Grant {
+                first,
+                last,
+                fence: grant.fence,
+                until: grant.until,
+            };
+            if grant.first < order.first {
+                kept.push(piece(grant.first, order.first - 1));
+            }
+            if grant.last > order.last {
+                kept.push(piece(order.last + 1, grant.last));
+            }
+        }
+        // Remembers the fence of the release, so that late grants below it are refused.
+        kept.push(Grant {
+            first: order.first,
+            last: order.last,
+            fence: order.fence,
+            until: now,
+        });
+        state.grants = kept;
+        reply(StatusCode::OK, "")
+    }
+
+    fn holds(&self, key: u16) -> bool {
+        let now = Instant::now();
+        self.lock()
+            .grants
+            .iter()
+            .any(|g| (g.first..=g.last).contains(&key) && g.until > now)
+    }
+
+    async fn work(&self, request: &Whole) -> Reply {
+        let header = |name: &str| {
+            request
+                .headers()
+                .get(name)
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or_default()
+        };
+        let id = header("x-ragworthub-request-id").to_owned();
+        let fault = self.lock().fault.clone();
+        let expected = header("x-ragworthub-expected-instance");
+        let key = header("x-ragworthub-shard-key").parse::<u16>().ok();
+        let is_held = !self.setup.is_sharded || key.is_some_and(|key| self.holds(key));
+        if expected != self.setup.name || !is_held {
+            return self.answer(StatusCode::MISDIRECTED_REQUEST, &id, false, Bytes::new());
+        }
+        if fault.shed {
+            return self.answer(StatusCode::SERVICE_UNAVAILABLE, &id, false, Bytes::new());
+        }
+        let Ok(_slot) = self.slots.acquire().await else {
+            return Reply::Cut;
+        };
+        *self.lock().runs.requests.entry(id.clone()).or_default() += 1;
+        self.running.fetch_add(1, Ordering::Relaxed);
+        sleep(self.setup.work).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        if fault.lose_answers {
+            return Reply::Cut;
+        }
+        let status = if fault.fail {
+            StatusCode::INTERNAL_SERVER_ERROR
+        } else {
+            StatusCode::OK
+        };
+        let id = if fault.crossed { "another" } else { &id };
+        let text = json!({ "server": self.setup.name, "path": request.uri().path(), "request": id });
+        self.answer(status, id, true, text.to_string().into())
+    }
+
+    fn answer(&self, status: StatusCode, id: &str, has_run: bool, body: Bytes) -> Reply {
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        let running = self.running.load(Ordering::Relaxed);
+        let load = format!("{running},0,{},100", self.setup.slots);
+        let proof = if has_run {
+            ("x-ragworthub-response-signature", "standin")
+        } else {
+            ("x-ragworthub-not-executed", "1")
+        };
+        for (name, value) in [
+            ("x-ragworthub-request-id", id),
+            ("x-ragworthub-instance-id", &self.setup.name),
+            ("x-ragworthub-server-load", &load),
+            proof,
+        ] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                response.headers_mut().insert(HeaderName::from_static(name), value);
+            }
+        }
+        Reply::Answer(response)
+    }
+}
+
+struct Order {
+    first: u16,
+    last: u16,
+    fence: u64,
+    hold: Duration,
+}
+
+impl Order {
+    fn read(body: &Bytes) -> Option<Self> {
+        let order = serde_json::from_slice::<Value>(body).ok()?;
+        let key = |name: &str| u16::try_from(order[name].as_u64()?).ok();
+        let hold = order["hold_time"].as_str().unwrap_or("0ms");
+        Some(Self {
+            first: key("from")?,
+            last: key("target")?,
+            fence: order["fence"].as_u64()?,
+            hold: Duration::from_millis(hold.strip_suffix("ms")?.parse().ok()?),
+        })
+    }
+}
+
+async fn announce(server: Arc<Server>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let setup = &server.setup;
+        let state = if server.lock().fault.drain { "draining" } else { "ready" };
+        let entry = json!({
+            "service": setup.service, "address": setup.address, "zone": setup.zone, "version": "v1",
+            "slots": setup.slots, "state": state, "cold_left": "0ms", "seq": sequence, "born": server.born,
+        });
+        // The next announcement makes up for one that fails.
+        let _ = append(setup.store, "keyed.servers", &setup.name, entry.to_string().as_bytes()).await;
+        sleep(ANNOUNCE_PERIOD).await;
+    }
+}
+
+/// Appends a record to a keyed topic of the store.
+///
+/// # Errors
+///
+/// Fails if the store doesn't take it.
+pub async fn append(store: SocketAddr, topic: &str, key: &str, value: &[u8]) -> Result<(), String> {
+    let mut body = BytesMut::new();
+    body.put_u32(u32::try_from(1 + key.len() + value.len()).map_err(|e| e.to_string())?);
+    body.put_u8(u8::try_from(key.len()).map_err(|e| e.to_string())?);
+    body.put_slice(key.as_bytes());
+    body.put_slice(value);
+    let stream = TcpStream::connect(store).await.map_err(|e| e.to_string())?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
+    tokio::spawn(connection);
+    let request = Request::post(format!("/log-append?topic={topic}&part=0"))
+        .header("host", "store")
+        .body(Full::new(body.freeze()))
+        .map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    match answer.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(format!("status {status}")),
+    }
+}
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -105,6 +105,34 @@
     start_standin("upstream", &[&["--name", name, "--listen", listen], more].concat())
 }
 
+/// Starts a stand-in of the platform's store or of a server.
+pub fn start_program(name: &str, arguments: &[&str]) -> Process {
+    start_standin(name, arguments)
+}
+
+/// Starts a gateway and gives the addresses for callers and for questions whether it is ready.
+pub fn start_gateway(settings: &str) -> (Process, SocketAddr) {
+    let mut child = Command::new(binary("ragworthub"))
+        .args(["gateway", "--settings", settings])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let listening = lines.find_map(|line| {
+        let line: Value = serde_json::from_str(&line.ok()?).ok()?;
+        (line["msg"] == "listening").then_some(line)
+    });
+    let listening = listening.expect("the gateway listens");
+    // Reads on, so that a full pipe never drops lines.
+    std::thread::spawn(move || lines.for_each(drop));
+    let address = |field: &str| listening[field].as_str().unwrap().parse().unwrap();
+    let process = Process {
+        child,
+        address: address("callers"),
+    };
+    (process, address("ready"))
+}
+
 /// An entry host with the addresses that it chose.
 pub struct Host {
     pub process: Process,
