Balance keys around a hot one; leave owners out only while they can't be reached

(3) The pace of an owner had its queue in it, so a busy upstream looked slow.

Change: an owner of keys is passed over only for 0.2 s after a connection failed; a request waits only for a key that began to move less than 0.6 s ago; balance looks at four full owners, both ends of all their parts, and moves a key that fills its owner to a clearly faster upstream; the pace is taken without the wait for a slot. Grants hold 2.5 s instead of 3.2 s, members of the group 1.2 s.

--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -15,6 +15,9 @@
 /// Longest time for which an upstream is left out.
 const EJECTION_MAX: Duration = Duration::from_secs(6);
 
+/// Time between two tries to connect to an owner of keys that can't be reached.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// How an attempt at an upstream ended, as its health sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -34,6 +37,8 @@
     in_row: u32,
     times: u32,
     ejected_until: Option<Instant>,
+    /// When a connection last couldn't be opened.
+    unreachable: Option<Instant>,
     /// A request that tries an upstream whose time out is over is in flight.
     is_tried: bool,
 }
@@ -42,6 +47,11 @@
     /// Takes in an outcome; true if the upstream is left out from now on.
     pub(crate) fn note(&mut self, now: Instant, outcome: Outcome) -> bool {
         let was_tried = std::mem::take(&mut self.is_tried);
+        match outcome {
+            Outcome::Unreachable => self.unreachable = Some(now),
+            Outcome::Served | Outcome::Shed => self.unreachable = None,
+            Outcome::Failed => {}
+        }
         match outcome {
             Outcome::Served => {
                 self.failures -= FAILURE_WEIGHT * self.failures;
@@ -90,6 +100,14 @@
         }
     }
 
+    /// Gives the time until which no connection should be tried; the only measure for an owner of
+    /// keys, as nobody else can serve them while it fails some.
+    pub(crate) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.unreachable
+            .map(|at| at + UNREACHABLE_PAUSE)
+            .filter(|&until| now < until)
+    }
+
     /// Notes that a request goes there.
     pub(crate) fn start(&mut self) {
         self.is_tried |= self.ejected_until.is_some();
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -64,13 +64,19 @@
         self.pace += PACE_WEIGHT * (ratio - self.pace);
     }
 
-    /// Estimates the time of a further request, in units of the usual time of its route.
-    pub(crate) fn expect(&self, now: Instant) -> f64 {
+    /// Estimates by how much waiting for a slot lengthens a further request.
+    pub(crate) fn queue_factor(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.reported).as_secs_f64();
         let others = self.others * (-age / REPORT_DECAY.as_secs_f64()).exp();
-        let slowness = 1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp();
         let ahead = others + f64::from(self.in_flight);
         let queued = (ahead + 1.0 - self.slots).max(0.0);
-        self.pace * slowness.max(0.5) * (1.0 + queued / self.slots)
+        1.0 + queued / self.slots
+    }
+
+    /// Estimates the time of a further request, in units of the usual time of its route.
+    pub(crate) fn expect(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.reported).as_secs_f64();
+        let slowness = 1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp();
+        self.pace * slowness.max(0.5) * self.queue_factor(now)
     }
 }
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -32,13 +32,13 @@
 /// Partition of the host topic that holds the hosts' records.
 const PARTITION: u32 = 0;
 /// Time after which a member that is silent loses its partitions; the store's least is 1 s.
-const MEMBER_TTL: Duration = Duration::from_millis(1_500);
+const MEMBER_TTL: Duration = Duration::from_millis(1_200);
 /// Time between two joins.
-const JOIN_PERIOD: Duration = Duration::from_millis(500);
+const JOIN_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which keys are granted: a new grantor renews within this time after the last one was
 /// lost (`MEMBER_TTL`, `JOIN_PERIOD` and three calls), and a lost owner's keys wait for it.
-const HOLD_TIME: Duration = Duration::from_millis(3_200);
-const RENEWAL_PERIOD: Duration = Duration::from_millis(800);
+const HOLD_TIME: Duration = Duration::from_millis(2_500);
+const RENEWAL_PERIOD: Duration = Duration::from_millis(600);
 /// Longest time for which a grantor renews without hearing from the store. An outage of the store
 /// must not take the keys away; a new grantor waits for this time where it can't be sure.
 const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(12);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -343,6 +343,17 @@
     expected > job.ends.saturating_duration_since(now).mul_f64(HOPELESS)
 }
 
+/// What is known of a key's owner.
+enum Ownership {
+    Owned(UpstreamName),
+    /// The key is on its way to a new owner.
+    Moving,
+    /// The owner couldn't be reached; it may be tried again at this time.
+    Paused(Instant),
+    /// No owner takes requests, and none will very soon.
+    Lost,
+}
+
 /// Finds the owner of a key, waiting a short time for one while the key moves.
 async fn choose_owner(gateway: &Gateway, job: &Job, pool: &Pool, key: u16) -> Result<UpstreamName, Refusal> {
     let gives_up = (Instant::now() + OWNER_WAIT).min(job.ends);
@@ -351,33 +362,53 @@
         tokio::pin!(changed);
         changed.as_mut().enable();
         let now = Instant::now();
-        if let Some(owner) = find_owner(gateway, job, now, key) {
-            let fleet = gateway.fleet.borrow();
-            let upstream = fleet.get(&owner).filter(|u| gateway.has_room(now, pool, u));
-            return match upstream.filter(|u| !is_hopeless(gateway, job, now, u)) {
-                Some(_) => Ok(owner),
-                None => Err(refuse_room(gateway, job, Reason::QueueFull)),
-            };
-        }
-        if timeout_at(gives_up, changed).await.is_err() {
-            return Err(Refusal {
-                reason: Reason::NoOwner,
-                verdict: job.verdict,
-                retry_after: (job.verdict == Verdict::NotRun).then(|| draw_time(gateway, OWNER_RETRY)),
-            });
+        match find_owner(gateway, job, now, key) {
+            Ownership::Owned(owner) => {
+                let fleet = gateway.fleet.borrow();
+                let upstream = fleet.get(&owner).filter(|u| gateway.has_room(now, pool, u));
+                return match upstream.filter(|u| !is_hopeless(gateway, job, now, u)) {
+                    Some(_) => Ok(owner),
+                    None => Err(refuse_room(gateway, job, Reason::QueueFull)),
+                };
+            }
+            Ownership::Paused(until) if until < gives_up => sleep_until(until).await,
+            Ownership::Moving if timeout_at(gives_up, changed).await.is_ok() => {}
+            Ownership::Moving | Ownership::Paused(_) | Ownership::Lost => {
+                return Err(Refusal {
+                    reason: Reason::NoOwner,
+                    verdict: job.verdict,
+                    retry_after: (job.verdict == Verdict::NotRun).then(|| draw_time(gateway, OWNER_RETRY)),
+                });
+            }
         }
     }
 }
 
-fn find_owner(gateway: &Gateway, job: &Job, now: Instant, key: u16) -> Option<UpstreamName> {
+fn find_owner(gateway: &Gateway, job: &Job, now: Instant, key: u16) -> Ownership {
     let tables = gateway.tables.borrow();
-    let part = tables.get(&job.pool)?.find(key);
-    let owner = part.owner.as_ref().filter(|_| part.ready)?;
+    let Some(part) = tables.get(&job.pool).map(|table| table.find(key)) else {
+        return Ownership::Lost;
+    };
+    let Some(owner) = part.owner.as_ref().filter(|_| part.ready) else {
+        return if gateway.is_moving(now, &job.pool, part.fence) {
+            Ownership::Moving
+        } else {
+            Ownership::Lost
+        };
+    };
     let fleet = gateway.fleet.borrow();
-    let upstream = fleet.get(&owner.upstream)?;
-    let is_usable = upstream.said.born == owner.born && fleet.serves_keys(now, upstream) && upstream.health.admits(now);
+    let upstream = fleet.get(&owner.upstream).filter(|u| u.said.born == owner.born);
+    let Some(upstream) = upstream.filter(|u| fleet.serves_keys(now, u)) else {
+        return Ownership::Lost;
+    };
     // An owner that refused this request doesn't hold the key yet, or not any more.
-    (is_usable && !job.tried.contains(&owner.upstream)).then(|| owner.upstream.clone())
+    if job.tried.contains(&owner.upstream) {
+        return Ownership::Moving;
+    }
+    match upstream.health.paused_until(now) {
+        Some(until) => Ownership::Paused(until),
+        None => Ownership::Owned(owner.upstream.clone()),
+    }
 }
 
 type Attempted = Result<Response<AnswerBody>, Failure>;
@@ -385,6 +416,11 @@
 /// Sends the request to one upstream; nothing if no connection could be opened.
 async fn attempt(gateway: &Rc<Gateway>, job: &mut Job, upstream: &UpstreamName) -> Option<Attempted> {
     let started = Instant::now();
+    let waiting = gateway
+        .fleet
+        .borrow()
+        .get(upstream)
+        .map_or(1.0, |u| u.load.queue_factor(started));
     let mut flight = Flight::start(gateway, upstream);
     let Some((sender, response)) = send_somehow(gateway, job, upstream, started).await else {
         job.unreachable += 1;
@@ -393,7 +429,7 @@
     job.tried.push(upstream.clone());
     Some(response.and_then(|response| {
         flight.hold(sender, response.headers());
-        judge(gateway, job, started.elapsed(), response, flight)
+        judge(gateway, job, started.elapsed().div_f64(waiting), response, flight)
     }))
 }
 
@@ -510,7 +546,7 @@
     request
 }
 
-/// Decides what an upstream's answer means.
+/// Decides what an upstream's answer means; `time` is without the wait for a slot.
 fn judge(
     gateway: &Rc<Gateway>,
     job: &Job,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,6 +31,8 @@
 /// Least time between two reads of the store because of upstreams that don't hold a key: all keys
 /// of a lost owner are refused at once.
 const REFRESH_PERIOD: Duration = Duration::from_millis(400);
+/// Time after which a move of keys waits for more than running work, mostly for a lost owner.
+const MOVE_TIME: Duration = Duration::from_millis(600);
 /// Part of a route's objective that is taken as its usual time before there is an answer.
 const USUAL_START: f64 = 0.3;
 
@@ -64,6 +66,8 @@
     pub(crate) fleet_known: Cell<bool>,
     pub(crate) hosts: RefCell<BTreeMap<HostName, Presence>>,
     pub(crate) tables: RefCell<BTreeMap<PoolName, Rc<KeyTable>>>,
+    /// When keys without a ready owner were first seen so, by pool and fence.
+    moving: RefCell<BTreeMap<(PoolName, u64), Instant>>,
     /// Woken when a key table changes.
     pub(crate) tables_changed: Notify,
     /// Woken when the hosts' records have to be read now.
@@ -105,6 +109,7 @@
             fleet_known: Cell::new(false),
             hosts: RefCell::default(),
             tables: RefCell::default(),
+            moving: RefCell::default(),
             tables_changed: Notify::new(),
             refresh_hosts: Notify::new(),
             owners_refreshed: Cell::default(),
@@ -139,6 +144,24 @@
         self.fleet_known.get() && has_owners && !self.is_stopping.get()
     }
 
+    /// Takes a newer table of a pool's keys into use.
+    pub(crate) fn use_table(&self, now: Instant, table: KeyTable) {
+        let mut moving = self.moving.borrow_mut();
+        let pending = |fence: u64| table.parts.iter().any(|part| !part.ready && part.fence == fence);
+        moving.retain(|(pool, fence), _| *pool != table.pool || pending(*fence));
+        for part in table.parts.iter().filter(|part| !part.ready) {
+            moving.entry((table.pool.clone(), part.fence)).or_insert(now);
+        }
+        self.tables.borrow_mut().insert(table.pool.clone(), Rc::new(table));
+        self.tables_changed.notify_waiters();
+    }
+
+    /// Tells whether keys are on their way to a new owner and should be there soon.
+    pub(crate) fn is_moving(&self, now: Instant, pool: &PoolName, fence: u64) -> bool {
+        let since = self.moving.borrow().get(&(pool.clone(), fence)).copied();
+        since.is_some_and(|since| now < since + MOVE_TIME)
+    }
+
     /// Reads the owners of keys anew, as an upstream said that it doesn't hold a key.
     pub(crate) fn refresh_owners(&self, now: Instant) {
         if self.owners_refreshed.get().is_none_or(|at| now >= at + REFRESH_PERIOD) {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -300,15 +300,14 @@
 
 /// Takes in a table if it is newer than the one that is known.
 fn note_table(gateway: &Gateway, table: KeyTable) {
-    let mut tables = gateway.tables.borrow_mut();
-    if tables.get(&table.pool).is_some_and(|known| !table.is_after(known)) {
+    let known = gateway.tables.borrow().get(&table.pool).cloned();
+    if known.is_some_and(|known| !table.is_after(&known)) {
         return;
     }
     info!(gateway.log, "owners of keys known"; "pool" => %table.pool, "grantor" => %table.grantor,
         "epoch" => table.epoch, "revision" => table.revision, "last_fence" => table.last_fence,
         "parts" => table.parts.len(), "ready" => table.parts.iter().filter(|p| p.ready).count());
-    tables.insert(table.pool.clone(), Rc::new(table));
-    gateway.tables_changed.notify_waiters();
+    gateway.use_table(Instant::now(), table);
 }
 
 /// Takes in a change that the grantor sent after it was saved; reads the store if it doesn't fit.
--- a/src/keys/plan.rs
+++ b/src/keys/plan.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Holder, KeyRates, KeyTable, Span};
+use super::{Holder, KeyRates, KeyTable, Part, Span};
 
 /// Usage of the fullest upstream, relative to the mean, above which keys move.
 const IMBALANCE: f64 = 1.3;
@@ -16,6 +16,13 @@
 const EMPTY: f64 = 0.1;
 /// Room, as a share of what an upstream should have, below which it counts as filled.
 const ROOM_LEAST: f64 = 0.01;
+/// Full upstreams that are looked at in one step: the fullest may hold a single key that can't be cut.
+const SOURCES_MAX: usize = 4;
+/// Least and most load of a piece that moves, relative to the wanted load.
+const PIECE_LEAST: f64 = 0.1;
+const PIECE_MOST: f64 = 1.5;
+/// Capacity, relative to that of its owner, for which a hot key moves.
+const HOT_KEY_GAIN: f64 = 1.4;
 /// Most moves for balance in one round.
 const MOVES_MAX: usize = 3;
 
@@ -161,38 +168,62 @@
 fn plan_move(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Option<Move> {
     let shares = measure(table, candidates, rates);
     let mean = shares.mean_usage(rates.load(Span::ALL));
-    let all = 0..candidates.len();
-    let fullest = all
-        .clone()
-        .max_by(|&a, &b| shares.usage(a).total_cmp(&shares.usage(b)))?;
     let emptiest = shares.emptiest(mean)?;
-    let is_over_limit = candidates[fullest]
-        .limit
-        .is_some_and(|limit| shares.loads[fullest] > limit * IMBALANCE);
-    let is_full = shares.usage(fullest) > BUSY_USAGE.max(mean * IMBALANCE);
     let is_empty = shares.usage(emptiest) < mean * EMPTY;
-    if fullest == emptiest || !(is_full || is_empty || is_over_limit) {
-        return None;
-    }
-    let excess = shares.loads[fullest] - mean * candidates[fullest].capacity;
-    let room = shares.room(emptiest, mean);
-    // An empty upstream is filled even if no other is above the mean by as much.
-    let wanted = if is_empty { room } else { excess.min(room) };
-    if wanted <= mean * candidates[emptiest].capacity * EMPTY {
-        return None;
-    }
-    let parts = table
+    let mut full: Vec<usize> = (0..candidates.len()).filter(|&at| at != emptiest).collect();
+    full.sort_by(|&a, &b| shares.usage(b).total_cmp(&shares.usage(a)));
+    full.truncate(SOURCES_MAX);
+    full.into_iter().find_map(|from| {
+        let limit = candidates[from].limit;
+        let is_over_limit = limit.is_some_and(|limit| shares.loads[from] > limit * IMBALANCE);
+        let is_full = shares.usage(from) > BUSY_USAGE.max(mean * IMBALANCE);
+        if !(is_full || is_empty || is_over_limit) {
+            return None;
+        }
+        let excess = shares.loads[from] - mean * candidates[from].capacity;
+        let room = shares.room(emptiest, mean);
+        // An empty upstream is filled even if no other is above the mean by as much.
+        let wanted = if is_empty { room } else { excess.min(room) };
+        let piece = if wanted > mean * candidates[emptiest].capacity * EMPTY {
+            find_piece(table, rates, &candidates[from].holder, wanted)
+        } else {
+            None
+        };
+        let to_emptiest = piece.map(|span| (span, emptiest));
+        let (span, to) = to_emptiest.or_else(|| find_hot_key(table, rates, &shares, from))?;
+        Some(Move {
+            span,
+            owner: candidates[to].holder.clone(),
+        })
+    })
+}
+
+/// Finds keys of an owner with about the wanted load, at either end of one of its parts.
+fn find_piece(table: &KeyTable, rates: &KeyRates, holder: &Holder, wanted: f64) -> Option<Span> {
+    let owned = |part: &&Part| part.ready && part.owner.as_ref() == Some(holder);
+    let mut spans: Vec<Span> = table.parts.iter().filter(owned).map(|part| part.span).collect();
+    spans.sort_by(|a, b| rates.load(*b).total_cmp(&rates.load(*a)));
+    let ends = spans
+        .into_iter()
+        .flat_map(|span| [rates.cut(span, wanted), rates.cut_last(span, wanted)]);
+    // A load far above the room would only move the hot place on, and a tiny one isn't worth a move.
+    let fits = |span: &Span| (wanted * PIECE_LEAST..=wanted * PIECE_MOST).contains(&rates.load(*span));
+    ends.into_iter().find(fits)
+}
+
+/// Finds a single key that fills its owner, for an upstream that can do clearly more.
+fn find_hot_key(table: &KeyTable, rates: &KeyRates, shares: &Shares<'_>, from: usize) -> Option<(Span, usize)> {
+    let candidates = shares.candidates;
+    let holder = &candidates[from].holder;
+    let owned = table
         .parts
         .iter()
-        .filter(|part| part.ready && part.owner.as_ref() == Some(&candidates[fullest].holder));
-    let part = parts.max_by(|a, b| rates.load(a.span).total_cmp(&rates.load(b.span)))?;
-    let piece = rates.cut(part.span, wanted);
-    // Moving a load above the room only moves the hot place on.
-    if rates.load(piece) > 2.0 * wanted || (piece == part.span && shares.loads[emptiest] > 0.0 && !is_empty) {
-        return None;
-    }
-    Some(Move {
-        span: piece,
-        owner: candidates[emptiest].holder.clone(),
-    })
+        .filter(|part| part.ready && part.owner.as_ref() == Some(holder));
+    let hot =
+        owned.filter(|part| part.span.first == part.span.last && rates.load(part.span) > candidates[from].capacity);
+    let hot = hot.max_by(|a, b| rates.load(a.span).total_cmp(&rates.load(b.span)))?;
+    let warm = (0..candidates.len()).filter(|&at| candidates[at].limit.is_none());
+    let best = warm.max_by(|&a, &b| candidates[a].capacity.total_cmp(&candidates[b].capacity))?;
+    let is_better = candidates[best].capacity > candidates[from].capacity * HOT_KEY_GAIN;
+    is_better.then_some((hot.span, best))
 }
--- a/src/keys/rates.rs
+++ b/src/keys/rates.rs
@@ -81,6 +81,18 @@
         self.sums[usize::from(span.last) + 1] - self.sums[usize::from(span.first)]
     }
 
+    /// Cuts off the last keys whose load comes closest to the wanted one; the cut may take all.
+    pub(crate) fn cut_last(&self, span: Span, wanted: f64) -> Span {
+        let rest = self.cut(span, self.load(span) - wanted);
+        match rest.last.checked_add(1).filter(|&first| first <= span.last) {
+            Some(first) => Span { first, last: span.last },
+            None => Span {
+                first: span.last,
+                last: span.last,
+            },
+        }
+    }
+
     /// Cuts off the first keys whose load comes closest to the wanted one; the cut may take all.
     pub(crate) fn cut(&self, span: Span, wanted: f64) -> Span {
         let start = self.sums[usize::from(span.first)];
--- a/src/keys/tests.rs
+++ b/src/keys/tests.rs
@@ -129,6 +129,42 @@
     assert!(load("a") < mean * 1.5, "{}", load("a"));
 }
 
+/// Load pattern: one key gets more than its owner can do. The owner's other keys must leave it, the key
+/// must go to the fastest upstream, and the rest must still be balanced.
+#[test]
+fn a_hot_key_is_left_alone_with_the_fastest_upstream() {
+    let mut rates = KeyRates::default();
+    let mut counts: BTreeMap<u16, u32> = (0..600).map(|key| (key * 100, 1)).collect();
+    counts.insert(20_050, 400);
+    rates.note_counts(&counts);
+    rates.advance(Duration::from_secs(1));
+    let mut table = table();
+    let mut candidates = [candidate("a"), candidate("b"), candidate("c"), candidate("d")];
+    candidates[3].capacity = 80.0;
+    for next in plan_orphans(&table, &candidates, &rates) {
+        table.assign(next.span, Some(&next.owner));
+    }
+    for round in 0..30 {
+        table.parts.iter_mut().for_each(|part| part.ready = true);
+        let moves = plan_balance(&table, &candidates, &rates);
+        if moves.is_empty() {
+            break;
+        }
+        assert!(round < 29, "balance doesn't come to rest");
+        for next in &moves {
+            table.assign(next.span, Some(&next.owner));
+        }
+    }
+    let owner = table.find(20_050).owner.clone().expect("an owner");
+    assert_eq!(owner, holder("d"));
+    let parts = table.parts.iter().filter(|part| part.owner.as_ref() == Some(&owner));
+    let load: f64 = parts.map(|part| rates.load(part.span)).sum();
+    assert!(
+        load < rates.load(span(20_050, 20_050)) + 20.0,
+        "the owner of the hot key has {load}"
+    );
+}
+
 /// A cold owner gets no more load than it tolerates, even if it is the emptiest.
 #[test]
 fn a_cold_candidate_stays_within_its_limit() {
