--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -202,6 +202,10 @@
         self.upstreams.get_mut(name)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Gives the upstreams of a pool, whatever their state.
     pub(crate) fn in_pool<'a>(&'a self, pool: &PoolName) -> impl Iterator<Item = &'a Upstream> {
         let names = self.pools.get(pool).into_iter().flatten();
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -65,6 +65,9 @@
         .with_interval(SILENCE_LIMIT)
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
+    // A call that was given up must not arrive later: closing resets the connection, which drops
+    // the bytes that a broken link holds up.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
 
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -98,6 +98,12 @@
     is_new_member: Cell<bool>,
 }
 
+impl Grants {
+    pub(crate) fn is_leading(&self) -> bool {
+        self.led.borrow().is_some()
+    }
+}
+
 impl std::fmt::Debug for Grants {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Grants")
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,9 @@
 mod stop;
 mod watch;
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 
 use slog::{Logger, info};
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,7 +23,7 @@
 use crate::keys::KeyTable;
 use crate::platform::{Bounds, Store};
 use crate::settings::Settings;
-use crate::telemetry::Metrics;
+use crate::telemetry::{Beliefs, Metrics};
 use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
 
 /// Weight of one answer in the moving average of a route's time, in answers.
@@ -144,6 +144,17 @@
         self.fleet_known.get() && has_owners && !self.is_stopping.get()
     }
 
+    /// Gives what this host believes, for its metrics.
+    pub(crate) fn beliefs(&self) -> Beliefs {
+        Beliefs {
+            configuration: self.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version.0),
+            upstreams: self.fleet.borrow().len(),
+            hosts: self.hosts.borrow().len(),
+            is_grantor: self.grants.is_leading(),
+            is_disturbed: self.store.is_disturbed(Instant::now()),
+        }
+    }
+
     /// Takes a newer table of a pool's keys into use.
     pub(crate) fn use_table(&self, now: Instant, table: KeyTable) {
         let mut moving = self.moving.borrow_mut();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -39,6 +40,22 @@
     failures: Family<OfReason, Counter>,
     retries: Family<OfReason, Counter>,
     times: Family<OfRoute, Histogram>,
+    configuration: Gauge,
+    upstreams: Gauge,
+    hosts: Gauge,
+    grantor: Gauge,
+    disturbed: Gauge,
+}
+
+/// What a host believes, at the time at which its metrics are read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Beliefs {
+    /// Version of the configuration in force; 0 if there is none.
+    pub(crate) configuration: u64,
+    pub(crate) upstreams: usize,
+    pub(crate) hosts: usize,
+    pub(crate) is_grantor: bool,
+    pub(crate) is_disturbed: bool,
 }
 
 impl Metrics {
@@ -50,6 +67,11 @@
             failures: Family::default(),
             retries: Family::default(),
             times: Family::new_with_constructor(|| Histogram::new(TIME_BOUNDS)),
+            configuration: Gauge::default(),
+            upstreams: Gauge::default(),
+            hosts: Gauge::default(),
+            grantor: Gauge::default(),
+            disturbed: Gauge::default(),
         };
         let r = &mut metrics.registry;
         r.register(
@@ -73,6 +95,23 @@
             "Time to the head of an answer by route",
             metrics.times.clone(),
         );
+        for (name, help, gauge) in [
+            (
+                "configuration_version",
+                "Version of the configuration in force",
+                &metrics.configuration,
+            ),
+            ("upstreams", "Upstreams known", &metrics.upstreams),
+            ("hosts", "Hosts known", &metrics.hosts),
+            ("grantor", "1 while this host grants keys", &metrics.grantor),
+            (
+                "store_disturbed",
+                "1 after a slow or failed call to the store",
+                &metrics.disturbed,
+            ),
+        ] {
+            r.register(name, help, gauge.clone());
+        }
         metrics
     }
 
@@ -113,8 +152,15 @@
             .inc();
     }
 
-    /// Writes all metrics as text.
-    pub(crate) fn render(&self) -> String {
+    /// Writes all metrics as text, with what the host believes now.
+    pub(crate) fn render(&self, beliefs: Beliefs) -> String {
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        self.configuration
+            .set(i64::try_from(beliefs.configuration).unwrap_or(i64::MAX));
+        self.upstreams.set(count(beliefs.upstreams));
+        self.hosts.set(count(beliefs.hosts));
+        self.grantor.set(beliefs.is_grantor.into());
+        self.disturbed.set(beliefs.is_disturbed.into());
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("a string takes any text");
         text
