Free the keys of an owner whose process has ended

Change: when the connection to an owner has broken and two tries 0.2 s apart are refused, its run has ended and holds nothing. The model of keys::tests gets crashes; keys_of_a_dead_owner_are_free_at_once fails without it.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -76,6 +76,8 @@
 pub(crate) enum CallError {
     /// not sent: {0}
     NotSent(String),
+    /// nobody listens at the address
+    Refused,
     /// the connection broke: {0}
     Broken(String),
     /// no answer within {0:?}
@@ -113,7 +115,7 @@
             Some(sender) => sender,
             None => connect(self.address, self.connect_limit, || ())
                 .await
-                .map_err(|e| CallError::NotSent(e.to_string()))?,
+                .map_err(|e| read_connect_error(&e))?,
         };
         // A connection on which an answer is lost gives no other; it ends with its sender.
         let answer = within(limit, async {
@@ -147,6 +149,13 @@
     }
 }
 
+fn read_connect_error(error: &io::Error) -> CallError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => CallError::Refused,
+        _ => CallError::NotSent(error.to_string()),
+    }
+}
+
 async fn within<T>(limit: Duration, call: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
     timeout(limit, call).await.unwrap_or(Err(CallError::Silent(limit)))
 }
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -415,7 +415,7 @@
     let candidates: Vec<Candidate> = fleet
         .in_pool(name)
         .filter(|u| fleet.is_in_service(u))
-        .filter(|u| !silent.contains(&Holder::of(&u.said)))
+        .filter(|u| !silent.contains(&Holder::of(&u.said)) && !pool.grantor.has_ended(&Holder::of(&u.said)))
         .map(|u| Candidate {
             holder: Holder::of(&u.said),
             capacity: f64::from(u.said.slots) / (usual * u.load.pace.clamp(0.4, 3.0)),
@@ -493,7 +493,7 @@
             let span = Span { first: 0, last: 0 };
             let order = Order::Release { span, fence: 0 };
             spawn_local(async move {
-                if release(&gateway, &holder, &order).await != ReleaseOutcome::Unknown {
+                if matches!(release(&gateway, &holder, &order).await, ReleaseOutcome::Released(_)) {
                     info!(gateway.log, "upstream takes grants again"; "upstream" => %holder.upstream);
                     with_grantor(&gateway, epoch, &pool, |grantor| grantor.note_answering(&holder));
                 }
@@ -504,7 +504,7 @@
             spawn_local(async move {
                 let outcome = release(&gateway, &holder, &order).await;
                 info!(gateway.log, "keys released"; "upstream" => %holder.upstream, "keys" => %span, "fence" => fence,
-                    "confirmed" => outcome != ReleaseOutcome::Unknown,
+                    "outcome" => outcome.as_str(),
                     "handover" => matches!(outcome, ReleaseOutcome::Released(Some(_))));
                 with_grantor(&gateway, epoch, &pool, |grantor| {
                     grantor.note_release(Instant::now(), &holder, fence, outcome);
@@ -544,6 +544,7 @@
             _ => GrantOutcome::Unknown,
         },
         Err(CallError::NotSent(_) | CallError::Broken(_)) => GrantOutcome::Broken,
+        Err(CallError::Refused) => GrantOutcome::Refused,
         Err(CallError::Silent(_)) => GrantOutcome::Unknown,
     }
 }
@@ -561,6 +562,7 @@
         Ok(answer) if answer.status() == StatusCode::MISDIRECTED_REQUEST && answer.headers().contains_key(INSTANCE) => {
             ReleaseOutcome::Released(None)
         }
+        Err(CallError::Refused) => ReleaseOutcome::Refused,
         Ok(_) | Err(_) => ReleaseOutcome::Unknown,
     }
 }
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -14,6 +14,8 @@
 
 /// Time between two orders that failed, for one part.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time between two refused connections that shows that a run has ended.
+const REFUSAL_GAP: Duration = Duration::from_millis(200);
 /// Time between two probes of an upstream that doesn't answer grants.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// Clock error of an upstream that is allowed for, as a divisor of the hold: PROTOCOL says 2%, so
@@ -57,9 +59,21 @@
 pub(crate) enum ReleaseOutcome {
     /// The keys are free; with the token for a warm start of the next owner, if there is one.
     Released(Option<String>),
+    /// Nobody listens at the upstream's address any more.
+    Refused,
     Unknown,
 }
 
+impl ReleaseOutcome {
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Released(_) => "released",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// How a grant ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum GrantOutcome {
@@ -68,6 +82,8 @@
     Fenced,
     /// No answer came; the connection didn't break.
     Unknown,
+    /// Nobody listens at the upstream's address any more.
+    Refused,
     /// The connection broke or couldn't be opened: the upstream may have started anew.
     Broken,
 }
@@ -98,6 +114,10 @@
     progress: BTreeMap<u64, Progress>,
     /// Upstreams that don't answer grants.
     silent: BTreeMap<Holder, Silence>,
+    /// First time at which nobody listened at the address of a run whose connection had ended.
+    refused: BTreeMap<Holder, Instant>,
+    /// Runs that have ended: their connections broke and nobody listens at their addresses.
+    ended: BTreeSet<Holder>,
 }
 
 /// An upstream that doesn't answer grants.
@@ -126,6 +146,24 @@
             sent,
             progress: BTreeMap::new(),
             silent: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            ended: BTreeSet::new(),
+        }
+    }
+
+    /// Tells whether a run is known to have ended.
+    pub(crate) fn has_ended(&self, holder: &Holder) -> bool {
+        self.ended.contains(holder)
+    }
+
+    /// Notes that nobody listens at a run's address; true if the run has ended.
+    ///
+    /// A process that lives keeps listening, so two refusals some time apart show its end. One alone
+    /// may be a network's.
+    fn note_refused(&mut self, now: Instant, holder: &Holder) {
+        let first = *self.refused.entry(holder.clone()).or_insert(now);
+        if now >= first + REFUSAL_GAP {
+            self.ended.insert(holder.clone());
         }
     }
 
@@ -198,7 +236,8 @@
             let last_sent = self.sent.get(holder).copied();
             let runs_out = last_sent.map(|sent| sent + self.hold.time + self.hold.time / CLOCK_MARGIN + TRAVEL_TIME);
             let is_same = part.owner.as_ref() == Some(holder);
-            let is_over = is_same || is_ended(holder) || runs_out.is_none_or(|end| end <= now);
+            let is_over =
+                is_same || is_ended(holder) || self.ended.contains(holder) || runs_out.is_none_or(|end| end <= now);
             if is_over || progress.released.contains(holder) {
                 continue;
             }
@@ -237,6 +276,8 @@
     fn probe_silent(&mut self, now: Instant, is_known: &impl Fn(&Holder) -> bool, actions: &mut Vec<Action>) {
         let parts = &self.table.parts;
         self.silent.retain(|holder, _| is_known(holder));
+        self.refused.retain(|holder, _| is_known(holder));
+        self.ended.retain(is_known);
         for (holder, silence) in &mut self.silent {
             let is_owner = parts.iter().any(|part| part.owner.as_ref() == Some(holder));
             if silence.next <= now && !is_owner {
@@ -272,11 +313,18 @@
         sent: Instant,
         outcome: GrantOutcome,
     ) -> bool {
+        match outcome {
+            GrantOutcome::Refused => self.note_refused(now, holder),
+            GrantOutcome::Taken | GrantOutcome::Fenced | GrantOutcome::Unknown => {
+                self.refused.remove(holder);
+            }
+            GrantOutcome::Broken => {}
+        }
         match outcome {
             GrantOutcome::Taken | GrantOutcome::Fenced => {
                 self.silent.remove(holder);
             }
-            GrantOutcome::Unknown | GrantOutcome::Broken => {
+            GrantOutcome::Unknown | GrantOutcome::Broken | GrantOutcome::Refused => {
                 let silence = Silence {
                     since: now,
                     next: now + PROBE_PERIOD,
@@ -306,7 +354,7 @@
                 false
             }
             // The next life of an upstream must not take keys under a fence of the last one.
-            GrantOutcome::Broken | GrantOutcome::Fenced => {
+            GrantOutcome::Broken | GrantOutcome::Refused | GrantOutcome::Fenced => {
                 let mut moved = progress.clone();
                 moved.next_try = Some(now + RETRY_DELAY);
                 moved.granted = None;
@@ -320,6 +368,9 @@
 
     /// Notes how a release ended.
     pub(crate) fn note_release(&mut self, now: Instant, holder: &Holder, fence: u64, outcome: ReleaseOutcome) {
+        if outcome == ReleaseOutcome::Refused {
+            self.note_refused(now, holder);
+        }
         let Some(progress) = self.progress.get_mut(&fence) else {
             return;
         };
@@ -331,7 +382,7 @@
                     progress.handover = handover;
                 }
             }
-            ReleaseOutcome::Unknown => {
+            ReleaseOutcome::Unknown | ReleaseOutcome::Refused => {
                 progress.releasing.insert(holder.clone(), Some(now + RETRY_DELAY));
             }
         }
--- a/src/keys/tests.rs
+++ b/src/keys/tests.rs
@@ -276,6 +276,8 @@
     Move(u16, u16, usize),
     /// Orders to a server get lost from now on, or arrive again.
     Cut(usize, bool),
+    /// A server's process ends for good.
+    Crash(usize),
     /// Answers of a server get lost from now on, or arrive again.
     Deaf(usize, bool),
     /// A new grantor takes over; the old one goes on renewing for a while, or has stopped.
@@ -298,6 +300,7 @@
     servers: Vec<Server>,
     is_cut: Vec<bool>,
     is_deaf: Vec<bool>,
+    is_down: Vec<bool>,
     flying: Vec<Flying>,
     /// Grantors, with the time until which an old one renews.
     grantors: Vec<(Grantor, Option<Instant>)>,
@@ -317,6 +320,7 @@
             servers: vec![Server::default(); 3],
             is_cut: vec![false; 3],
             is_deaf: vec![false; 3],
+            is_down: vec![false; 3],
             flying: Vec::new(),
             grantors: vec![(Grantor::take_over(now, stored.clone(), HOLD), None)],
             stored,
@@ -357,6 +361,16 @@
 
     fn send(&mut self, grantor: usize, action: Action) {
         let to = server_of(&action);
+        if self.is_down[to] && !self.is_cut[to] {
+            self.answer(
+                grantor,
+                &action,
+                self.now,
+                GrantOutcome::Refused,
+                ReleaseOutcome::Refused,
+            );
+            return;
+        }
         if self.is_cut[to] {
             self.answer(
                 grantor,
@@ -379,6 +393,17 @@
 
     fn arrive(&mut self, flying: &Flying) {
         let to = server_of(&flying.action);
+        if self.is_down[to] {
+            let (grantor, action) = (flying.grantor, &flying.action);
+            self.answer(
+                grantor,
+                action,
+                flying.sent,
+                GrantOutcome::Broken,
+                ReleaseOutcome::Unknown,
+            );
+            return;
+        }
         let (mut granted, mut released) = (GrantOutcome::Unknown, ReleaseOutcome::Unknown);
         match &flying.action {
             Action::Grant { span, fence, .. } => granted = self.servers[to].grant(self.now, *span, *fence),
@@ -419,6 +444,10 @@
                     grantor.apply(&[Move { span, owner }]);
                 }
             }
+            Event::Crash(server) => {
+                self.is_down[*server] = true;
+                self.servers[*server] = Server::default();
+            }
             Event::Cut(server, is_cut) => self.is_cut[*server] = *is_cut,
             Event::Deaf(server, is_deaf) => self.is_deaf[*server] = *is_deaf,
             Event::TakeOver(has_stopped) => {
@@ -453,11 +482,36 @@
         .expect("a server of the test")
 }
 
+fn event_or_crash() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        12 => event(),
+        1 => (0_usize..3).prop_map(Event::Crash),
+    ]
+}
+
+/// Guards against keys that wait for the hold of a dead owner: its process has ended, so it holds nothing.
+#[test]
+fn keys_of_a_dead_owner_are_free_at_once() {
+    let mut world = World::new();
+    for event in [Event::TakeOver(true), Event::Wait(20), Event::Crash(0), Event::Wait(14)] {
+        world.play(&event).expect("one owner");
+    }
+    world.play(&Event::Move(0, u16::MAX, 1)).expect("one owner");
+    world.play(&Event::Wait(10)).expect("one owner");
+    assert!(
+        world
+            .stored
+            .parts
+            .iter()
+            .all(|part| part.ready && part.owner == Some(holder("s1")))
+    );
+}
+
 proptest! {
     /// Guards against two owners of a key: over moves, cut servers, lost answers and grantors
     /// that go on after another took over.
     #[test]
-    fn a_key_never_has_two_owners(events in prop::collection::vec(event(), 1..40)) {
+    fn a_key_never_has_two_owners(events in prop::collection::vec(event_or_crash(), 1..40)) {
         let mut world = World::new();
         for event in &events {
             if let Err(error) = world.play(event) {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -318,7 +318,7 @@
             self.note_disturbance(now);
         }
         let answer = answer.map_err(|e| match e {
-            CallError::NotSent(_) => StoreError::Refused(e.to_string()),
+            CallError::NotSent(_) | CallError::Refused => StoreError::Refused(e.to_string()),
             CallError::Broken(_) | CallError::Silent(_) => StoreError::Unknown(e.to_string()),
         })?;
         read_status(answer.status(), answer.into_body())
