Try an owner again that lost an answer, for requests that may run again

Cause: a lookup whose owner broke off an answer waited 0.4 s for another owner, though the same one still held the key, and ended as 502.

Ruled out: a move of the key (no line keys move for it).

Change: only an owner that refused the key counts as stale. Second sends still cost the budget.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -83,6 +83,8 @@
     fingerprint: Fingerprint,
     /// Upstreams to which the request was sent.
     tried: Vec<UpstreamName>,
+    /// Owner that said that it doesn't hold the key.
+    stale_owner: Option<UpstreamName>,
     verdict: Verdict,
     unreachable: u32,
 }
@@ -223,6 +225,7 @@
         body,
         fingerprint,
         tried: Vec::new(),
+        stale_owner: None,
         verdict: Verdict::NotRun,
         unreachable: 0,
     })
@@ -264,6 +267,9 @@
             Some(Err(failure)) => failure,
         };
         job.verdict = job.verdict.max(failure.verdict);
+        if failure.reason == Reason::GrantRefused {
+            job.stale_owner = Some(upstream);
+        }
         gateway.metrics.count_failure(failure.reason);
         if may_retry(gateway, job, failure.reason) {
             gateway.metrics.count_retry(failure.reason);
@@ -404,8 +410,8 @@
     let Some(upstream) = upstream.filter(|u| fleet.serves_keys(now, u)) else {
         return Ownership::Lost;
     };
-    // An owner that refused this request doesn't hold the key yet, or not any more.
-    if job.tried.contains(&owner.upstream) {
+    // It doesn't hold the key yet, or not any more.
+    if job.stale_owner.as_ref() == Some(&owner.upstream) {
         return Ownership::Moving;
     }
     match upstream.health.paused_until(now) {
