Count and log requests whose callers leave

Cause: a request whose caller left ended with its task and was in no count, though it may have run: partners' sums would differ from ours.

Change: such a request is counted by what is known of it and gets a line. The test, with a server that works for 3 s and a caller that leaves after 0.2 s, finds no count without it.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -111,6 +111,12 @@
             "nothing at the router; a status of 500 and above is the upstream's own",
         );
     }
+    if text(last, "msg") == "caller left" {
+        return (
+            format!("its caller left before the answer; verdict {}", text(last, "verdict")),
+            "compare the time with the caller's deadline; look for slow upstreams of the pool",
+        );
+    }
     match text(last, "reason") {
         "queue-full" => (
             format!("no upstream of pool {pool} could have answered in time"),
--- a/src/counts/mod.rs
+++ b/src/counts/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::SystemTime;
+use std::time::{Duration, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -24,8 +24,9 @@
 pub(crate) struct Month(String);
 
 impl Month {
-    pub(crate) fn of(time: SystemTime) -> Self {
-        let mut text = humantime::format_rfc3339_seconds(time).to_string();
+    /// Gives the month of a time since the Unix epoch.
+    pub(crate) fn of(time: Duration) -> Self {
+        let mut text = humantime::format_rfc3339_seconds(UNIX_EPOCH + time).to_string();
         text.truncate(MONTH_LENGTH);
         Self(text)
     }
--- a/src/counts/tests.rs
+++ b/src/counts/tests.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeMap;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use super::{Month, Sheet, Tally, sum_sheets};
 use crate::types::Verdict;
 
-fn at(seconds: u64) -> SystemTime {
-    UNIX_EPOCH + Duration::from_secs(seconds)
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
 }
 
 /// A request of the last second of a month belongs to that month.
--- a/src/gateway/counting.rs
+++ b/src/gateway/counting.rs
@@ -15,17 +15,21 @@
 /// Time between two saves; what a crash may lose.
 const SAVE_PERIOD: Duration = Duration::from_secs(15);
 
+/// Gives the time since the Unix epoch; a clock before it counts as there.
+fn time_of_day() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// Counts a request that has ended.
 pub(crate) fn count(gateway: &Gateway, route: &RouteName, verdict: Verdict) {
-    let month = Month::of(SystemTime::now());
+    let month = Month::of(time_of_day());
     gateway.counts.borrow_mut().count(month, route, verdict);
     gateway.counts_changed.set(true);
 }
 
 /// Starts to save the counts.
 pub(crate) fn start_counting(gateway: &Rc<Gateway>) {
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let key = format!("{}/{}", gateway.settings.host, started.as_millis());
+    let key = format!("{}/{}", gateway.settings.host, time_of_day().as_millis());
     *gateway.count_key.borrow_mut() = key;
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -39,7 +39,7 @@
 const JOIN_PERIOD: Duration = Duration::from_millis(400);
 /// Time for which keys are granted: a new grantor renews within this time after the last one was
 /// lost (`MEMBER_TTL`, `JOIN_PERIOD` and three calls), and a lost owner's keys wait for it.
-const HOLD_TIME: Duration = Duration::from_millis(2_500);
+const GRANT_TIME: Duration = Duration::from_millis(2_500);
 const RENEWAL_PERIOD: Duration = Duration::from_millis(600);
 /// Longest time for which a grantor renews without hearing from the store. An outage of the store
 /// must not take the keys away; a new grantor waits for this time where it can't be sure.
@@ -358,7 +358,7 @@
 
 fn add_pools(gateway: &Gateway, now: Instant, led: &mut Led, catalog: &Catalog) {
     let hold = Hold {
-        time: HOLD_TIME.min(gateway.bounds.grant),
+        time: GRANT_TIME.min(gateway.bounds.grant),
         renewal: RENEWAL_PERIOD,
         takeover: if led.is_alone {
             Duration::ZERO
@@ -474,7 +474,7 @@
             handover,
             asks_health,
         } => {
-            let hold = HOLD_TIME.min(gateway.bounds.grant);
+            let hold = GRANT_TIME.min(gateway.bounds.grant);
             let order = Order::Grant {
                 span,
                 fence,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -70,6 +70,7 @@
 
 /// A request while it is served.
 struct Job {
+    gateway: Rc<Gateway>,
     id: HeaderValue,
     arrived: Instant,
     /// Time of the final answer at the latest.
@@ -87,6 +88,28 @@
     stale_owner: Option<UpstreamName>,
     verdict: Verdict,
     unreachable: u32,
+    /// It is at an upstream, or was sent and its end is not known yet.
+    is_sent: bool,
+    /// Its end was counted and logged.
+    is_ended: bool,
+}
+
+impl Drop for Job {
+    /// Counts a request whose caller left: its task is dropped, wherever it stands.
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        let verdict = if self.is_sent {
+            Verdict::MayHaveRun
+        } else {
+            self.verdict
+        };
+        count(&self.gateway, &self.route.name, verdict);
+        info!(self.gateway.log, "caller left"; "request" => self.id.to_str().unwrap_or_default(),
+            "route" => %self.route.name, "pool" => %self.pool, "verdict" => verdict.as_str(),
+            "ms" => u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX));
+    }
 }
 
 /// How an attempt ended without an answer for the caller.
@@ -108,6 +131,7 @@
     let response = match accept(&gateway, arrived, id.clone(), request, &bytes).await {
         Ok(mut job) => {
             let result = run(&gateway, &mut job).await;
+            job.is_ended = true;
             log_end(&gateway, &job, &result);
             result.unwrap_or_else(|refusal| refusal.into_response(id.as_ref()))
         }
@@ -153,7 +177,7 @@
 
 /// Checks a request, finds its route and reads its body.
 async fn accept(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     arrived: Instant,
     id: Option<HeaderValue>,
     request: Request<Incoming>,
@@ -214,6 +238,7 @@
         gateway.count_key(&pool, key);
     }
     Ok(Job {
+        gateway: Rc::clone(gateway),
         id,
         arrived,
         ends,
@@ -228,6 +253,8 @@
         stale_owner: None,
         verdict: Verdict::NotRun,
         unreachable: 0,
+        is_sent: false,
+        is_ended: false,
     })
 }
 
@@ -431,7 +458,10 @@
         .get(upstream)
         .map_or(1.0, |u| u.load.queue_factor(started));
     let mut flight = Flight::start(gateway, upstream);
-    let Some((sender, response)) = send_somehow(gateway, job, upstream, started).await else {
+    job.is_sent = true;
+    let sent = send_somehow(gateway, job, upstream, started).await;
+    job.is_sent = false;
+    let Some((sender, response)) = sent else {
         job.unreachable += 1;
         return None;
     };
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -110,6 +110,21 @@
         exchange(self.gateways[gateway].address, &text)
     }
 
+    /// Gives the counts of a route over all months.
+    fn counts(&self, route: &str) -> Value {
+        let output = std::process::Command::new(support::binary("ragworthub"))
+            .args(["--json", "counts", "--store", &self.store.address.to_string()])
+            .output()
+            .expect("the command");
+        let report: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+        let months = report["months"].as_object().expect("months");
+        months
+            .values()
+            .map(|routes| routes[route].clone())
+            .next()
+            .unwrap_or_default()
+    }
+
     fn runs(&self, id: &str) -> u64 {
         let runs = self.servers.iter().map(|(_, server)| {
             let report: Value = serde_json::from_str(&get(server.address, "/standin/runs", "1").body).expect("JSON");
@@ -273,6 +288,51 @@
     assert_eq!(site.gateways[0].wait_code(), Some(0));
 }
 
+/// A payment whose caller left while it ran must be in the counts, or partners' sums differ.
+#[test]
+fn a_request_whose_caller_left_is_counted() {
+    let mut site = Site::start(1);
+    let before = site.counts("renovaciones");
+    let store = site.store.address.to_string();
+    let slow = [
+        "--name",
+        "slow",
+        "--service",
+        "renovaciones",
+        "--store",
+        &store,
+        "--work-ms",
+        "3000",
+    ];
+    for (_, server) in &site.servers {
+        set_fault(server.address, &json!("drain"));
+    }
+    site.servers.push(("slow".to_owned(), start_program("server", &slow)));
+    wait_for("the slow server to be the only one", || {
+        let id = format!("l-{}", site.servers.len());
+        let text = format!(
+            "POST /renovaciones/7 HTTP/1.1\r\nHost: {HOST}\r\nX-Ragworthub-Request-Id: {id}\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(site.gateways[0].address).expect("a connection");
+        stream.write_all(text.as_bytes()).expect("a request");
+        std::thread::sleep(Duration::from_millis(200));
+        drop(stream);
+        (site.runs(&id) > 0).then_some(())
+    });
+    site.gateways[0].signal("TERM");
+    assert_eq!(site.gateways[0].wait_code(), Some(0));
+    let after = site.counts("renovaciones");
+    assert!(
+        after["may_have_run"].as_u64() > before["may_have_run"].as_u64(),
+        "{before} {after}"
+    );
+    let sum = ["ran", "not_run", "may_have_run"]
+        .iter()
+        .map(|field| after[*field].as_u64().unwrap_or_default());
+    assert_eq!(after["admitted"].as_u64(), Some(sum.sum()));
+}
+
 /// A host without a configuration knows nothing of routes, so 404 would be false.
 #[test]
 fn without_a_configuration_requests_get_503() {
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -68,7 +68,8 @@
     }
 }
 
-fn binary(name: &str) -> PathBuf {
+/// Gives the path of a program of the workspace.
+pub fn binary(name: &str) -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_store")).with_file_name(name)
 }
 
