--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -15,18 +15,55 @@
 use super::answer::Flight;
 use super::connect::{CallError, Endpoint};
 use super::state::Gateway;
+use super::watch::apply_catalog;
 use crate::catalog::{Announcement, Phase, Pool};
 use crate::settings::parse_settings;
-use crate::types::UpstreamName;
+use crate::types::{Offset, UpstreamName};
+
+const SETTINGS: &str = "host: a\nzone: z\nlisten: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', \
+                        peers: '127.0.0.1:3', metrics: '127.0.0.1:4' }\nstore: 127.0.0.1:5\n";
+const CONFIGURATION: &str = include_str!("../../examples/platform/configuration.json");
+
+fn gateway() -> Rc<Gateway> {
+    let settings = parse_settings(SETTINGS).expect("settings");
+    Rc::new(Gateway::new(settings, Logger::root(Discard, o!())))
+}
+
+/// An older configuration that is read later, or one that can't be read, must not replace the one in force.
+#[tokio::test]
+async fn a_configuration_never_reverts() {
+    let gateway = gateway();
+    let write = |version: &str| CONFIGURATION.replace("00000001", version);
+    let in_force = || gateway.catalog.borrow().as_ref().map(|c| (c.version.0, c.offset.0));
+    apply_catalog(&gateway, Offset(4), write("0000000a").as_bytes());
+    assert_eq!(in_force(), Some((10, 4)));
+    apply_catalog(&gateway, Offset(5), write("00000009").as_bytes());
+    apply_catalog(&gateway, Offset(6), b"{\"version\":");
+    apply_catalog(&gateway, Offset(4), write("0000000a").as_bytes());
+    assert_eq!(in_force(), Some((10, 4)));
+    apply_catalog(&gateway, Offset(7), write("0000000c").as_bytes());
+    assert_eq!(in_force(), Some((12, 7)));
+}
+
+/// Requests of a split route follow the weights, so that no part gets far more than its share.
+#[tokio::test]
+async fn a_split_follows_its_weights() {
+    let gateway = gateway();
+    let split = r#""traffic_split":[{"service":"placas","weight":90},{"service":"renovaciones","weight":10}]"#;
+    let text = CONFIGURATION.replacen(r#""service": "placas""#, split, 1);
+    apply_catalog(&gateway, Offset(1), text.as_bytes());
+    let catalog = gateway.catalog.borrow().clone().expect("a configuration");
+    let route = catalog.find_route("licencias.example", "/placas/1").expect("a route");
+    let chosen = (0..100).filter_map(|_| gateway.choose_target(route));
+    let first = chosen.filter(|pool| pool.as_str() == "placas").count();
+    assert_eq!(first, 90);
+}
 
 /// Hosts sent 28 requests in 0.1 s to a cold upstream that bore 23 (incident inc-a379 of cairnbook-gw): requests
 /// that waited for their connection were not counted, so all of them were chosen.
 #[tokio::test]
 async fn requests_that_wait_for_a_connection_count_at_a_cold_upstream() {
-    let settings = "host: a\nzone: z\nlisten: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', \
-                    peers: '127.0.0.1:3', metrics: '127.0.0.1:4' }\nstore: 127.0.0.1:5\n";
-    let settings = parse_settings(settings).expect("settings");
-    let gateway = Rc::new(Gateway::new(settings, Logger::root(Discard, o!())));
+    let gateway = gateway();
     let now = Instant::now();
     let name: UpstreamName = "u".parse().expect("a name");
     gateway.fleet.borrow_mut().announce(
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -159,7 +159,8 @@
     }
 }
 
-fn apply_catalog(gateway: &Gateway, offset: Offset, text: &[u8]) {
+/// Takes a configuration into use if it is newer than the one in force.
+pub(crate) fn apply_catalog(gateway: &Gateway, offset: Offset, text: &[u8]) {
     let known = gateway.catalog.borrow().as_ref().map(|c| (c.version, c.offset));
     match decode_catalog(offset, text) {
         Ok(catalog) if known.is_some_and(|(version, at)| catalog.version <= version && at != offset) => {
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -233,7 +233,9 @@
         };
         *self.lock().runs.requests.entry(id.clone()).or_default() += 1;
         self.running.fetch_add(1, Ordering::Relaxed);
-        sleep(self.setup.work).await;
+        if !self.setup.work.is_zero() {
+            sleep(self.setup.work).await;
+        }
         self.running.fetch_sub(1, Ordering::Relaxed);
         if fault == ServerFault::LoseAnswers {
             return Reply::Cut;
