--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -159,7 +159,7 @@
         self.ended.contains(holder)
     }
 
-    /// Notes that nobody listens at a run's address; true if the run has ended.
+    /// Notes that nobody listens at a run's address.
     ///
     /// A process that lives keeps listening, so two refusals some time apart show its end. One alone
     /// may be a network's.
