Bound the receive buffer in the test of calls that are given up

The system may grow a receive buffer to 32 MiB here (tcp_rmem) and holds up to 4 MiB at the sender, so at times the whole body of 32 MiB was with the receiver before the call was given up, and nothing was left to drop.

Ruled out: a connection that went on after the call was given up; the bytes had left before.

Change: the server's receive buffer is fixed at 64 KiB, so that the body can't leave.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use slog::{Discard, Logger, o};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -103,7 +103,9 @@
     assert!((1..=6).contains(&flights.len()), "{} requests", flights.len());
 }
 
-/// More bytes than the system buffers for one connection.
+/// Receive buffer of the test's server, in bytes.
+const RECEIVE_BUFFER: u32 = 64 << 10;
+/// More bytes than the system buffers for one connection beside it.
 const LARGE: usize = 32 << 20;
 
 /// A grant that was given up while a link was cut arrived after the cut had healed, when the keys had
@@ -111,7 +113,11 @@
 /// that nothing of it is sent any more.
 #[tokio::test]
 async fn a_call_that_is_given_up_resets_its_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // With a fixed buffer the system doesn't grow it until it holds the whole body.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).expect("a buffer");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let listener = socket.listen(1).expect("a listener");
     let address: SocketAddr = listener.local_addr().expect("an address");
     let call = async move {
         let endpoint = Endpoint::new(address, Duration::from_secs(5));
