Let a few hosts read the store for all

Ruled out: a longer period for each host (the bound on draining is 2 s); waiting reads (one was seen to miss a record of a slow store, and each host needs one); one agreed reader (its loss costs an election, a cut zone has none).

Change: two hosts of each zone have a rank. They read the three topics in turn every 0.65 s and send what changed by datagram with its offsets; a host that hears nobody reads for itself. Hosts without a rank join the election only if no reader was heard for 2 s. An entry that is back after it lapsed counts as a change, as other hosts may have dropped it. Ages of the store's knowledge, the configuration and the owners are in the metrics.

Tests: relay::tests (freshness under any dead hosts and deaf zones; reads don't grow with hosts), gateway::tests::feed (a host that hears only some messages, some late, ends with what a reader knows; it fails if an entry that is back after a lapse isn't passed on).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,8 +24,11 @@
 /// Time after the store's return within which upstreams whose entries lapsed announce themselves
 /// again; from the users' second letter, about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-/// Longest time from the writing of an announcement to its reading, on a host that reads each 1.3 s.
+/// Longest time from the writing of an announcement to its reading, on a host that hears no reader.
 const ANNOUNCE_LAG: Duration = Duration::from_millis(1_500);
+/// Difference of two announced ends of a cold time that says nothing; above the time between the
+/// writing and the reading of an announcement.
+const COLD_TOLERANCE: Duration = Duration::from_secs(1);
 /// Use of a leaving owner of keys while its keys move; well inside the shortest bound on draining.
 const HANDOFF_TIME: Duration = Duration::from_millis(800);
 
@@ -71,7 +74,7 @@
     Stale,
     /// A new upstream, or a new run of a known one.
     Joined,
-    /// Its phase, address or load limits changed.
+    /// Its phase, address, load limits or cold time changed, or its entry is back after it lapsed.
     Updated,
 }
 
@@ -88,13 +91,17 @@
         let cold_until = now + said.cold_left;
         match self.upstreams.get_mut(&said.upstream) {
             Some(upstream) if upstream.said.born == said.born && upstream.said.pool == said.pool => {
-                upstream.lapsed_until = None;
+                // A host that learns of this only now must hear of it, as it may have dropped the upstream.
+                let was_lapsed = upstream.lapsed_until.take().is_some();
                 let is_same_phase = upstream.said.phase == said.phase;
-                let is_same =
-                    is_same_phase && upstream.said.address == said.address && upstream.said.slots == said.slots;
+                let is_same = is_same_phase
+                    && !was_lapsed
+                    && upstream.said.address == said.address
+                    && upstream.said.slots == said.slots;
                 if !is_same_phase {
                     upstream.since = now;
                 }
+                let former_end = upstream.cold_until;
                 // An announcement that is read now may be from before the suspicion.
                 let is_fresh = upstream.suspected.is_none_or(|at| now >= at + ANNOUNCE_LAG);
                 upstream.cold_until = if is_fresh {
@@ -102,8 +109,14 @@
                 } else {
                     cold_until.max(upstream.cold_until)
                 };
+                let is_same_cold = upstream.cold_until.max(now).duration_since(former_end.max(now)) < COLD_TOLERANCE
+                    && former_end.max(now).duration_since(upstream.cold_until.max(now)) < COLD_TOLERANCE;
                 upstream.said = said;
-                if is_same { Change::None } else { Change::Updated }
+                if is_same && is_same_cold {
+                    Change::None
+                } else {
+                    Change::Updated
+                }
             }
             _ => {
                 self.drop_upstream(&said.upstream.clone());
--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -7,6 +7,7 @@
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
+use super::feed::rank;
 use super::grants::{Led, PRODUCER};
 use super::state::Gateway;
 use super::watch::{HOST_PREFIX, TABLE_PREFIX};
@@ -80,18 +81,25 @@
 }
 
 pub(super) async fn elect(gateway: Rc<Gateway>) {
+    let mut is_member = false;
     while !gateway.is_stopping.get() {
-        if !gateway.grants.is_new_member.get() {
-            // An earlier process of this host may have saved under the epoch that the group still has.
-            match gateway.store.leave(&member(&gateway)).await {
-                Ok(()) => gateway.grants.is_new_member.set(true),
-                Err(error) => {
-                    warn!(gateway.log, "group not left before joining"; "error" => %error);
-                    sleep(JOIN_PERIOD).await;
-                    continue;
-                }
+        let schedule = gateway.feed.schedule.get();
+        if !gateway.grants.is_leading() && !schedule.stands(Instant::now(), rank(&gateway)) {
+            if std::mem::take(&mut is_member) {
+                info!(gateway.log, "host leaves the election"; "why" => "other hosts read the store for it");
+                // If this fails, the membership ends with its time to live.
+                gateway.grants.is_new_member.set(false);
+                leave_group(&gateway).await;
             }
+            sleep(JOIN_PERIOD).await;
+            continue;
+        }
+        // An earlier process of this host may have saved under the epoch that the group still has.
+        if !gateway.grants.is_new_member.get() && !leave_group(&gateway).await {
+            sleep(JOIN_PERIOD).await;
+            continue;
         }
+        is_member = true;
         let started = Instant::now();
         let generation = gateway.grants.generation.get();
         let joined = gateway
@@ -115,6 +123,15 @@
     }
 }
 
+/// Ends this host's membership, so that its next one has a new generation; false if that failed.
+async fn leave_group(gateway: &Gateway) -> bool {
+    match gateway.store.leave(&member(gateway)).await {
+        Ok(()) => gateway.grants.is_new_member.set(true),
+        Err(error) => warn!(gateway.log, "group not left"; "error" => %error),
+    }
+    gateway.grants.is_new_member.get()
+}
+
 async fn note_share(gateway: &Rc<Gateway>, started: Instant, generation: u64, is_grantor: bool) {
     let is_leading = gateway.grants.led.borrow().is_some();
     if !is_grantor {
--- /dev/null
+++ b/src/gateway/feed.rs
@@ -0,0 +1,249 @@
+//! Follows the store's topics: reads them in turn with other hosts and passes on what was read.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::peers::Message;
+use super::state::Gateway;
+use super::watch::{apply_record, knows_owners, reset_topic};
+use crate::platform::{HOST_TOPIC, OPERATOR_TOPIC, Record, StoreError, UPSTREAM_TOPIC};
+use crate::relay::{Extract, Fit, News, Schedule, Topic, find_rank};
+use crate::types::Offset;
+
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Most bytes of records that are passed on for one topic, so that a message to all hosts stays
+/// small enough for a datagram.
+const NEWS_MAX: usize = 2_500;
+
+fn name(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Operators => OPERATOR_TOPIC,
+        Topic::Upstreams => UPSTREAM_TOPIC,
+        Topic::Hosts => HOST_TOPIC,
+    }
+}
+
+/// How far this host has followed the topics.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    /// Next record of each topic that was listed.
+    next: RefCell<BTreeMap<Topic, Offset>>,
+    /// Topics that have to be read now.
+    wanted: RefCell<BTreeSet<Topic>>,
+    asked: Notify,
+    pub(crate) schedule: Cell<Schedule>,
+}
+
+impl Feed {
+    pub(crate) fn new(spread: f64) -> Self {
+        Self {
+            next: RefCell::default(),
+            wanted: RefCell::default(),
+            asked: Notify::new(),
+            schedule: Cell::new(Schedule::new(Instant::now(), spread)),
+        }
+    }
+
+    /// Gives the topics that were asked for, which then have to be read.
+    pub(super) fn take_wanted(&self) -> BTreeSet<Topic> {
+        std::mem::take(&mut *self.wanted.borrow_mut())
+    }
+
+    /// Asks for a read of a topic now.
+    pub(crate) fn ask(&self, topic: Topic) {
+        self.wanted.borrow_mut().insert(topic);
+        self.asked.notify_one();
+    }
+
+    pub(super) fn next(&self, topic: Topic) -> Option<Offset> {
+        self.next.borrow().get(&topic).copied()
+    }
+}
+
+/// Gives this host's rank among those that read for all.
+pub(crate) fn rank(gateway: &Gateway) -> Option<usize> {
+    let hosts = gateway.hosts.borrow();
+    let zones = hosts.iter().map(|(host, presence)| (host, &presence.zone));
+    find_rank(zones, &gateway.settings.host)
+}
+
+/// Reads the topics when it is this host's turn, for the life of the process.
+pub(crate) async fn follow(gateway: Rc<Gateway>) {
+    let mut lost = BTreeSet::new();
+    loop {
+        let topics = wait_due(&gateway).await;
+        let started = Instant::now();
+        let (operators, upstreams, hosts) = tokio::join!(
+            refresh(&gateway, Topic::Operators, &topics),
+            refresh(&gateway, Topic::Upstreams, &topics),
+            refresh(&gateway, Topic::Hosts, &topics),
+        );
+        let results = [
+            (Topic::Operators, operators),
+            (Topic::Upstreams, upstreams),
+            (Topic::Hosts, hosts),
+        ];
+        let mut extracts = Vec::new();
+        let mut is_failed = false;
+        for (topic, result) in results.into_iter().filter(|(topic, _)| topics.contains(topic)) {
+            match result {
+                Ok(extract) => {
+                    extracts.extend(extract);
+                    if lost.remove(&topic) {
+                        info!(gateway.log, "store regained"; "topic" => name(topic));
+                    }
+                }
+                Err(error) => {
+                    is_failed = true;
+                    gateway.fleet.borrow_mut().note_store_failure(Instant::now());
+                    gateway.feed.wanted.borrow_mut().insert(topic);
+                    if lost.insert(topic) {
+                        warn!(gateway.log, "store lost"; "topic" => name(topic), "error" => %error);
+                    }
+                }
+            }
+        }
+        if is_failed {
+            sleep(RETRY_PAUSE).await;
+        } else if topics.len() == Topic::ALL.len() && gateway.feed.wanted.borrow().is_empty() {
+            let mut schedule = gateway.feed.schedule.get();
+            schedule.note_read(started);
+            gateway.feed.schedule.set(schedule);
+            pass_on(&gateway, extracts);
+        }
+    }
+}
+
+/// Waits until a read is due; gives the topics to be read.
+async fn wait_due(gateway: &Gateway) -> BTreeSet<Topic> {
+    loop {
+        let wanted = gateway.feed.take_wanted();
+        if !wanted.is_empty() {
+            return wanted;
+        }
+        let now = Instant::now();
+        let is_disturbed = gateway.store.is_disturbed(now);
+        let due = gateway.feed.schedule.get().due(rank(gateway), is_disturbed);
+        let Some(due) = due.filter(|due| *due > now) else {
+            return Topic::ALL.into();
+        };
+        tokio::select! {
+            () = sleep_until(due) => {}
+            () = gateway.feed.asked.notified() => {}
+        }
+    }
+}
+
+/// Reads a topic, or lists it if the next record isn't known; gives what can be passed on.
+async fn refresh(gateway: &Gateway, topic: Topic, topics: &BTreeSet<Topic>) -> Result<Option<Extract>, StoreError> {
+    if !topics.contains(&topic) {
+        return Ok(None);
+    }
+    let Some(from) = gateway.feed.next(topic) else {
+        list(gateway, topic).await?;
+        return Ok(None);
+    };
+    match gateway.store.read(name(topic), from).await {
+        Ok(batch) => {
+            if !batch.is_last {
+                gateway.feed.ask(topic);
+            }
+            Ok(Some(take_records(gateway, topic, batch.next, batch.records)))
+        }
+        Err(StoreError::Gone(first)) => {
+            info!(gateway.log, "records gone, listing again"; "topic" => name(topic), "first" => first.0);
+            list(gateway, topic).await?;
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn list(gateway: &Gateway, topic: Topic) -> Result<(), StoreError> {
+    let listing = gateway.store.list(name(topic)).await?;
+    for record in &listing.records {
+        apply_record(gateway, topic, record);
+    }
+    let keys = listing.records.iter().map(|record| record.key.as_str()).collect();
+    reset_topic(gateway, topic, &keys);
+    gateway.feed.next.borrow_mut().insert(topic, listing.next);
+    Ok(())
+}
+
+/// Applies records that were read, but for those that another host has passed on meanwhile.
+pub(super) fn take_records(gateway: &Gateway, topic: Topic, next: Offset, records: Vec<Record>) -> Extract {
+    let from = gateway.feed.next(topic).unwrap_or(next);
+    let mut news = Vec::new();
+    let mut size = 0;
+    for record in records.into_iter().filter(|record| record.offset >= from) {
+        if let Some(item) = apply_record(gateway, topic, &record) {
+            size += item.size();
+            news.push(item);
+        }
+    }
+    gateway.feed.next.borrow_mut().insert(topic, next.max(from));
+    Extract {
+        topic,
+        from,
+        next: next.max(from),
+        news: (size <= NEWS_MAX).then_some(news),
+    }
+}
+
+/// Sends what was read to all other hosts if this host is one of those that do so.
+fn pass_on(gateway: &Gateway, extracts: Vec<Extract>) {
+    if extracts.len() == Topic::ALL.len() && rank(gateway).is_some() && !gateway.is_stopping.get() {
+        gateway.outbox.send(Message::Read(extracts));
+    }
+}
+
+/// Takes in what another host has read; asks the store for what is missing.
+pub(crate) fn note_extracts(gateway: &Gateway, extracts: &[Extract]) {
+    let mut is_old = false;
+    for extract in extracts {
+        let next = gateway.feed.next(extract.topic);
+        let is_missing = match extract.fit(next) {
+            Fit::Known => false,
+            Fit::Old => {
+                is_old = true;
+                false
+            }
+            Fit::Continues => !take_news(gateway, extract, next.unwrap_or_default()),
+            Fit::Gap => true,
+        };
+        if is_missing {
+            gateway.feed.ask(extract.topic);
+        }
+    }
+    if !is_old {
+        let mut schedule = gateway.feed.schedule.get();
+        schedule.note_heard(Instant::now());
+        gateway.feed.schedule.set(schedule);
+    }
+}
+
+/// Applies what another host has read; false if this host has to read it itself.
+fn take_news(gateway: &Gateway, extract: &Extract, next: Offset) -> bool {
+    for news in extract.news.iter().flatten() {
+        match news {
+            News::Record(record) if record.offset >= next => {
+                apply_record(gateway, extract.topic, record);
+            }
+            News::Record(_) => {}
+            News::Owners { pool, epoch, revision } => {
+                if !knows_owners(gateway, pool, (*epoch, *revision)) {
+                    return false;
+                }
+            }
+        }
+    }
+    gateway.feed.next.borrow_mut().insert(extract.topic, extract.next);
+    true
+}
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -24,6 +24,7 @@
     plan_balance, plan_orphans,
 };
 use crate::platform::{HOST_TOPIC, Order, StoreError, Tail};
+use crate::relay::Topic;
 use crate::types::{HostName, PoolName};
 
 /// Producer under which the grantor saves, so that a newer epoch shuts out an older one.
@@ -252,7 +253,13 @@
         .collect();
     let moves = plan_orphans(pool.grantor.table(), &candidates, &pool.rates);
     if !moves.is_empty() {
-        log_moves(gateway, name, "owner lost or leaving", &moves);
+        let is_first = pool.grantor.table().parts.iter().all(|part| part.owner.is_none());
+        let why = if is_first {
+            "no owner yet"
+        } else {
+            "owner lost or leaving"
+        };
+        log_moves(gateway, name, why, &moves);
         pool.grantor.apply(&moves);
     }
     let elapsed = now.duration_since(pool.planned);
@@ -375,7 +382,7 @@
                 gateway.outbox.send(Message::Change(change));
             }
             _ => {
-                gateway.refresh_hosts.notify_one();
+                gateway.feed.ask(Topic::Hosts);
                 gateway.outbox.send(Message::Refresh);
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod counting;
 mod election;
+mod feed;
 mod framing;
 mod grants;
 mod orders;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between hosts: counts of requests by key, for the grantor.
+//! Datagrams between hosts: counts for the grantor, changes of owners, what was read from the store.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::election::{find_former, note_stopped, stand_down};
+use super::feed::note_extracts;
 use super::grants::note_counts;
 use super::orders::note_cold;
 use super::state::{Gateway, Presence};
@@ -20,6 +21,7 @@
 use crate::fleet::Fingerprint;
 use crate::keys::{KeyCounts, TableChange};
 use crate::platform::HOST_TOPIC;
+use crate::relay::{Extract, Topic};
 use crate::types::{HostName, UpstreamName};
 
 /// Time between two messages to the grantor.
@@ -49,6 +51,8 @@
     Change(TableChange),
     /// Owners of keys changed by more than one message holds; the store has them.
     Refresh,
+    /// What a host has read from the store's topics.
+    Read(Vec<Extract>),
     /// The answer: the host grants nothing under an older epoch.
     Stopped { host: HostName, epoch: u64 },
 }
@@ -127,7 +131,8 @@
             }
             Ok(Message::Cold { upstream, millis }) => note_cold(&gateway, &upstream, Duration::from_millis(millis)),
             Ok(Message::Change(change)) => note_change(&gateway, &change),
-            Ok(Message::Refresh) => gateway.refresh_hosts.notify_one(),
+            Ok(Message::Read(extracts)) => note_extracts(&gateway, &extracts),
+            Ok(Message::Refresh) => gateway.feed.ask(Topic::Hosts),
             Ok(Message::Stopped { host, epoch }) => note_stopped(&gateway, epoch, &host),
             Err(error) => warn!(gateway.log, "datagram can't be read"; "bytes" => length, "error" => %error),
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::connections::Connections;
+use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
 use crate::budget::{ColdGate, ColdShare, RetryBudget, RetryLimits};
@@ -22,6 +23,7 @@
 use crate::fleet::{Fleet, Suspects, Upstream};
 use crate::keys::KeyTable;
 use crate::platform::{Bounds, Store};
+use crate::relay::Topic;
 use crate::settings::Settings;
 use crate::telemetry::{Beliefs, Metrics};
 use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
@@ -70,8 +72,9 @@
     moving: RefCell<BTreeMap<(PoolName, u64), Instant>>,
     /// Woken when a key table changes.
     pub(crate) tables_changed: Notify,
-    /// Woken when the hosts' records have to be read now.
-    pub(crate) refresh_hosts: Notify,
+    pub(crate) feed: Feed,
+    pub(crate) catalog_changed: Cell<Option<Instant>>,
+    owners_changed: Cell<Option<Instant>>,
     owners_refreshed: Cell<Option<Instant>>,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<BTreeMap<PoolName, RetryBudget>>,
@@ -98,6 +101,7 @@
 impl Gateway {
     pub(crate) fn new(settings: Settings, log: Logger) -> Self {
         let bounds = settings.bounds();
+        let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
         Self {
             store: Store::new(settings.store),
             bounds,
@@ -111,7 +115,9 @@
             tables: RefCell::default(),
             moving: RefCell::default(),
             tables_changed: Notify::new(),
-            refresh_hosts: Notify::new(),
+            feed: Feed::new(rng.random()),
+            catalog_changed: Cell::default(),
+            owners_changed: Cell::default(),
             owners_refreshed: Cell::default(),
             connections: Connections::default(),
             budgets: RefCell::default(),
@@ -124,7 +130,7 @@
             counts: RefCell::default(),
             counts_changed: Cell::new(false),
             count_key: RefCell::default(),
-            rng: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+            rng: RefCell::new(rng),
             is_stopping: Cell::new(false),
             callers: Cell::new(0),
             close_callers: Notify::new(),
@@ -146,12 +152,17 @@
 
     /// Gives what this host believes, for its metrics.
     pub(crate) fn beliefs(&self) -> Beliefs {
+        let now = Instant::now();
+        let age = |at: &Cell<Option<Instant>>| at.get().map(|at| now.saturating_duration_since(at));
         Beliefs {
+            store_age: self.feed.schedule.get().age(now),
+            configuration_age: age(&self.catalog_changed),
+            owners_age: age(&self.owners_changed),
             configuration: self.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version.0),
             upstreams: self.fleet.borrow().len(),
             hosts: self.hosts.borrow().len(),
             is_grantor: self.grants.is_leading(),
-            is_disturbed: self.store.is_disturbed(Instant::now()),
+            is_disturbed: self.store.is_disturbed(now),
         }
     }
 
@@ -164,6 +175,7 @@
             moving.entry((table.pool.clone(), part.fence)).or_insert(now);
         }
         self.tables.borrow_mut().insert(table.pool.clone(), Rc::new(table));
+        self.owners_changed.set(Some(now));
         self.tables_changed.notify_waiters();
     }
 
@@ -177,7 +189,7 @@
     pub(crate) fn refresh_owners(&self, now: Instant) {
         if self.owners_refreshed.get().is_none_or(|at| now >= at + REFRESH_PERIOD) {
             self.owners_refreshed.set(Some(now));
-            self.refresh_hosts.notify_one();
+            self.feed.ask(Topic::Hosts);
         }
     }
 
--- /dev/null
+++ b/src/gateway/tests/feed.rs
@@ -0,0 +1,164 @@
+//! Hosts that are told what another one has read, against hosts that read it themselves.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::gateway;
+use crate::gateway::feed::{note_extracts, take_records};
+use crate::gateway::state::Gateway;
+use crate::keys::KeyTable;
+use crate::platform::Record;
+use crate::relay::{Extract, News, Topic};
+use crate::types::Offset;
+
+/// A time after which entries that lapsed are gone.
+const LONG_AFTER: Duration = Duration::from_mins(1);
+
+/// What an upstream or another writer puts into the topic.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An upstream announces itself; its number, run, state and cold time in seconds.
+    Announce(u64, u64, bool, u64),
+    Remove(u64),
+    Damaged(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0u64..4, 0u64..3, any::<bool>(), 0u64..2).prop_map(|(at, born, ready, cold)| Step::Announce(at, born, ready, 9 * cold)),
+        2 => (0u64..4).prop_map(Step::Remove),
+        1 => (0u64..4).prop_map(Step::Damaged),
+    ]
+}
+
+fn record(offset: u64, step: &Step) -> Record {
+    let (at, value) = match step {
+        Step::Announce(at, born, is_ready, cold) => {
+            let state = if *is_ready { "ready" } else { "draining" };
+            let text = json!({"service": "placas", "address": format!("10.0.0.{at}:80"), "zone": "z", "slots": 4,
+                "state": state, "cold_left": format!("{cold}s"), "seq": offset, "born": born});
+            (at, Some(Bytes::from(text.to_string())))
+        }
+        Step::Remove(at) => (at, None),
+        Step::Damaged(at) => (at, Some(Bytes::from_static(b"\xff{"))),
+    };
+    Record {
+        offset: Offset(offset),
+        key: format!("i-{at}"),
+        value,
+    }
+}
+
+fn read(gateway: &Gateway, log: &[Record], to: u64) -> Extract {
+    let from = gateway.feed.next(Topic::Upstreams).unwrap_or_default();
+    let records = log
+        .iter()
+        .filter(|record| record.offset >= from && record.offset.0 < to);
+    let records = records.cloned().collect();
+    take_records(gateway, Topic::Upstreams, Offset(to), records)
+}
+
+/// Gives what decisions see of the upstreams.
+fn known(gateway: &Gateway) -> Vec<String> {
+    let fleet = gateway.fleet.borrow();
+    let now = Instant::now();
+    let pool = "placas".parse().expect("a name");
+    let upstreams = fleet.in_pool(&pool);
+    let text = |u: &crate::fleet::Upstream| {
+        format!(
+            "{} {} {:?} cold: {}",
+            u.said.upstream,
+            u.said.born,
+            u.said.phase,
+            u.is_cold(now)
+        )
+    };
+    upstreams.map(text).collect()
+}
+
+proptest! {
+    /// A host that hears only some of the messages, some of them late, ends with what a reader knows: a missed
+    /// record would send requests to upstreams that left, or none to new ones.
+    #[test]
+    fn listeners_know_what_readers_know(
+        steps in proptest::collection::vec(step(), 1..60),
+        sizes in proptest::collection::vec((1u64..6, 0u8..4), 1..40),
+        failures in any::<(bool, bool)>(),
+    ) {
+        let log: Vec<Record> = (0..).zip(&steps).map(|(at, step)| record(at, step)).collect();
+        let end = log.len() as u64;
+        let (reader, listener) = (gateway(), gateway());
+        for (host, has_failed) in [(&reader, failures.0), (&listener, failures.1)] {
+            if has_failed {
+                // Entries that are removed from now on may only have lapsed.
+                host.fleet.borrow_mut().note_store_failure(Instant::now());
+            }
+            // Both have listed an empty topic.
+            take_records(host, Topic::Upstreams, Offset(0), Vec::new());
+        }
+        let mut at = 0;
+        let mut late = Vec::new();
+        for (size, fate) in sizes.into_iter().chain([(end, 0)]) {
+            at = end.min(at + size);
+            let extract = read(&reader, &log, at);
+            match fate {
+                0 | 1 => note_extracts(&listener, &[extract]),
+                2 => late.push(extract),
+                _ => {}
+            }
+            if fate == 1 && let Some(extract) = late.pop() {
+                note_extracts(&listener, &[extract]);
+            }
+            if listener.feed.take_wanted().contains(&Topic::Upstreams) {
+                read(&listener, &log, at);
+            }
+        }
+        for host in [&reader, &listener] {
+            host.fleet.borrow_mut().expire(Instant::now() + LONG_AFTER);
+        }
+        prop_assert_eq!(listener.feed.next(Topic::Upstreams), Some(Offset(end)));
+        prop_assert_eq!(known(&listener), known(&reader));
+    }
+}
+
+/// Most records only repeat what is known; passing them all on would fill the links of 90 hosts.
+#[test]
+fn repeated_announcements_are_not_passed_on() {
+    let gateway = gateway();
+    take_records(&gateway, Topic::Upstreams, Offset(0), Vec::new());
+    let log: Vec<Record> = (0..50)
+        .map(|at| record(at, &Step::Announce(at % 4, 1, true, 0)))
+        .collect();
+    let extract = read(&gateway, &log, 50);
+    assert_eq!(extract.news.map(|news| news.len()), Some(4));
+}
+
+/// Owners of keys are too large for a datagram; a host that missed the grantor's message must read them.
+#[test]
+fn unknown_owners_are_read() {
+    let gateway = gateway();
+    take_records(&gateway, Topic::Hosts, Offset(0), Vec::new());
+    let extract = |revision| Extract {
+        topic: Topic::Hosts,
+        from: Offset(0),
+        next: Offset(1),
+        news: Some(vec![News::Owners {
+            pool: "placas".parse().expect("a name"),
+            epoch: 3,
+            revision,
+        }]),
+    };
+    let mut table = KeyTable::new("placas".parse().expect("a name"), "a".parse().expect("a name"), 3);
+    table.revision = 2;
+    gateway.use_table(Instant::now(), table);
+    note_extracts(&gateway, &[extract(4)]);
+    assert!(gateway.feed.take_wanted().contains(&Topic::Hosts));
+    assert_eq!(gateway.feed.next(Topic::Hosts), Some(Offset(0)));
+    note_extracts(&gateway, &[extract(2)]);
+    assert!(gateway.feed.take_wanted().is_empty());
+    assert_eq!(gateway.feed.next(Topic::Hosts), Some(Offset(1)));
+}
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,5 @@
+mod feed;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,9 +24,9 @@
 
 const SETTINGS: &str = "host: a\nzone: z\nlisten: { callers: '127.0.0.1:1', ready: '127.0.0.1:2', \
                         peers: '127.0.0.1:3', metrics: '127.0.0.1:4' }\nstore: 127.0.0.1:5\n";
-const CONFIGURATION: &str = include_str!("../../examples/platform/configuration.json");
+const CONFIGURATION: &str = include_str!("../../../examples/platform/configuration.json");
 
-fn gateway() -> Rc<Gateway> {
+pub(super) fn gateway() -> Rc<Gateway> {
     let settings = parse_settings(SETTINGS).expect("settings");
     Rc::new(Gateway::new(settings, Logger::root(Discard, o!())))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`platform`]: names, formats and calls of the users' platform;
 //! - [`fleet`], [`keys`], [`budget`]: the decisions, without input or output: which upstream, who
 //!   owns which keys, and limits over all hosts;
+//! - [`relay`]: which hosts read the store for all;
 //! - [`counts`]: the requests that partners are billed for;
 //! - [`gateway`]: the process that feeds the decisions and carries them out;
 //! - [`telemetry`], [`command`]: logs, metrics and the command line.
@@ -25,6 +26,7 @@
 mod counts;
 mod fleet;
 mod keys;
+mod relay;
 
 mod gateway;
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,14 +13,13 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::units::format_time;
 use crate::gateway::{CallError, Endpoint};
 use crate::types::Offset;
 
-/// Limit for one call without a wait; the store answers within 0.3 s also when it is slow.
+/// Limit for one call; the store answers within 0.3 s also when it is slow.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 /// Time of a call above which the store counts as disturbed; usual are 4 ms and the way.
 const SLOW_CALL: Duration = Duration::from_millis(60);
@@ -47,7 +46,7 @@
 }
 
 /// The newest record of one key, or a record of a keyed topic; no value means that the key is gone.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Record {
     pub(crate) offset: Offset,
     pub(crate) key: String,
@@ -60,6 +59,8 @@
     /// Offset of the next record to read.
     pub(crate) next: Offset,
     pub(crate) records: Vec<Record>,
+    /// The topic ended there when it was read.
+    pub(crate) is_last: bool,
 }
 
 /// The newest record of each key.
@@ -148,8 +149,6 @@
     endpoint: Endpoint,
     /// Until when the store counts as disturbed.
     disturbed: Cell<Option<Instant>>,
-    /// Woken when a disturbance begins.
-    disturbance: Notify,
 }
 
 impl Store {
@@ -157,7 +156,6 @@
         Self {
             endpoint: Endpoint::new(address, CONNECT_LIMIT),
             disturbed: Cell::default(),
-            disturbance: Notify::new(),
         }
     }
 
@@ -166,17 +164,8 @@
         self.disturbed.get().is_some_and(|end| now < end)
     }
 
-    /// Waits for the beginning of a disturbance.
-    pub(crate) async fn wait_disturbance(&self) {
-        self.disturbance.notified().await;
-    }
-
     fn note_disturbance(&self, now: Instant) {
-        let begins = !self.is_disturbed(now);
         self.disturbed.set(Some(now + DISTURBED_TIME));
-        if begins {
-            self.disturbance.notify_waiters();
-        }
     }
 
     /// Reads the newest record of each key of a topic.
@@ -194,7 +183,7 @@
                 uri.push_str("&after=");
                 uri.push_str(&escape(&after));
             }
-            let body = self.call(Method::GET, &uri, Bytes::new(), CALL_LIMIT).await?;
+            let body = self.call(Method::GET, &uri, Bytes::new()).await?;
             let page = parse::<WireListing>(&body)?;
             // Pages are no snapshot: records written since the first page are read again.
             let end = *first_end.get_or_insert(page.end_offset);
@@ -218,15 +207,14 @@
         }
     }
 
-    /// Reads the records of a keyed topic from an offset on, waiting for the first one.
+    /// Reads the records of a keyed topic from an offset on, as many as one answer holds.
     ///
     /// # Errors
     ///
     /// Fails if the store doesn't answer, or no longer keeps the offset.
-    pub(crate) async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, StoreError> {
-        let wait_ms = wait.as_millis();
-        let uri = format!("/log-read?topic={topic}&part=0&from={from}&max_kb={READ_KIB}&wait_ms={wait_ms}");
-        let body = self.call(Method::GET, &uri, Bytes::new(), wait + CALL_LIMIT).await?;
+    pub(crate) async fn read(&self, topic: &str, from: Offset) -> Result<Batch, StoreError> {
+        let uri = format!("/log-read?topic={topic}&part=0&from={from}&max_kb={READ_KIB}&wait_ms=0");
+        let body = self.call(Method::GET, &uri, Bytes::new()).await?;
         decode_batch(from, body).ok_or_else(|| StoreError::Unknown("records that can't be read".to_owned()))
     }
 
@@ -249,7 +237,7 @@
             uri = format!("{uri}&producer={producer}&epoch={epoch}&seq={sequence}");
         }
         let body = encode_records(records);
-        let body = self.call(Method::POST, &uri, body, CALL_LIMIT).await?;
+        let body = self.call(Method::POST, &uri, body).await?;
         parse::<WireAppended>(&body).map(|appended| Offset(appended.end_offset))
     }
 
@@ -272,7 +260,7 @@
             ttl_time: Some(format_time(ttl)),
             generation: Some(generation),
         };
-        let body = self.call(Method::POST, "/log-join", encode(&join), CALL_LIMIT).await?;
+        let body = self.call(Method::POST, "/log-join", encode(&join)).await?;
         let joined = parse::<WireJoined>(&body)?;
         let rows = joined.parts.into_iter().filter(|(name, ..)| name == topic);
         Ok(GroupShare {
@@ -294,12 +282,11 @@
             ttl_time: None,
             generation: None,
         };
-        self.call(Method::POST, "/log-leave", encode(&leave), CALL_LIMIT)
-            .await?;
+        self.call(Method::POST, "/log-leave", encode(&leave)).await?;
         Ok(())
     }
 
-    async fn call(&self, method: Method, uri: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
+    async fn call(&self, method: Method, uri: &str, body: Bytes) -> Result<Bytes, StoreError> {
         let request = Request::builder()
             .method(method)
             .uri(uri)
@@ -308,9 +295,9 @@
             .body(Full::new(body))
             .map_err(|e| StoreError::Refused(e.to_string()))?;
         let start = Instant::now();
-        let answer = self.endpoint.call(request, limit).await;
+        let answer = self.endpoint.call(request, CALL_LIMIT).await;
         let now = Instant::now();
-        let is_slow = limit == CALL_LIMIT && now > start + SLOW_CALL;
+        let is_slow = now > start + SLOW_CALL;
         let is_lost = answer
             .as_ref()
             .map_or(true, |answer| answer.status() == StatusCode::SERVICE_UNAVAILABLE);
@@ -394,7 +381,7 @@
     if body.len() < 16 {
         return None;
     }
-    let _end = body.get_u64();
+    let end = body.get_u64();
     let _first = body.get_u64();
     let mut next = from;
     let mut records = Vec::new();
@@ -406,7 +393,11 @@
         records.push(decode_record(next, body.split_to(length)));
         next = Offset(next.0 + 1);
     }
-    Some(Batch { next, records })
+    Some(Batch {
+        next,
+        records,
+        is_last: next.0 >= end,
+    })
 }
 
 fn decode_record(offset: Offset, mut content: Bytes) -> Record {
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,187 @@
+//! Which hosts read the store for all, when a host reads it itself, and whether what another host
+//! has read continues what is known.
+//!
+//! Load pattern: reads that grow with the number of hosts. A few ranked hosts of each availability
+//! zone read in turn: each waits a little longer than the one before it, and what it hears starts
+//! its wait anew. A host that hears nothing reads for itself, so a lost, cut off or refused reader
+//! costs the others one wait and no agreement is needed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::platform::Record;
+use crate::types::{HostName, Offset, PoolName, Zone};
+
+#[cfg(test)]
+mod tests;
+
+/// Hosts of each availability zone that read for all; the second one covers the loss of the first.
+const READERS_PER_ZONE: usize = 2;
+/// Time after which the first reader reads again; a third of the shortest bound on draining, so
+/// that two failed reads fit into it.
+const READ_PERIOD: Duration = Duration::from_millis(650);
+/// The same while the store is disturbed and single reads fail.
+const READ_PERIOD_SHORT: Duration = Duration::from_millis(450);
+/// What each further reader waits longer; above the time of a read and its datagram.
+const RANK_STEP: Duration = Duration::from_millis(60);
+/// Ranks from this one on wait equally long.
+const RANK_MAX: u32 = 5;
+/// What other hosts wait longer than the first reader before they read for themselves.
+const OTHERS_DELAY: Duration = Duration::from_millis(400);
+/// Part of `OTHERS_DELAY` by which hosts differ, so that they don't all call at once.
+const OTHERS_SPREAD: f64 = 0.4;
+/// Silence of all readers after which other hosts take part in the election of the grantor;
+/// longer than the wait of the last reader.
+const ELECTION_SILENCE: Duration = Duration::from_secs(2);
+
+/// Bytes of an item in a message beside its names and its value.
+const NEWS_OVERHEAD: usize = 32;
+
+/// A topic of the store that hosts follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) enum Topic {
+    Operators,
+    Upstreams,
+    Hosts,
+}
+
+impl Topic {
+    pub(crate) const ALL: [Self; 3] = [Self::Operators, Self::Upstreams, Self::Hosts];
+}
+
+/// One of the records that a reader passes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum News {
+    Record(Record),
+    /// Owners of keys were saved; the grantor sends what changed itself.
+    Owners {
+        pool: PoolName,
+        epoch: u64,
+        revision: u64,
+    },
+}
+
+impl News {
+    /// Gives about the number of bytes that the item takes in a message.
+    pub(crate) fn size(&self) -> usize {
+        let content = match self {
+            Self::Record(record) => record.key.len() + record.value.as_ref().map_or(0, bytes::Bytes::len),
+            Self::Owners { pool, .. } => pool.as_str().len(),
+        };
+        content + NEWS_OVERHEAD
+    }
+}
+
+/// What a reader found in a topic from one offset to another.
+///
+/// Records that changed nothing for the reader are left out. Hosts at the same offset know the same,
+/// so they change nothing there either.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Extract {
+    pub(crate) topic: Topic,
+    pub(crate) from: Offset,
+    pub(crate) next: Offset,
+    /// None if it is too large for a datagram; the store has it.
+    pub(crate) news: Option<Vec<News>>,
+}
+
+/// How an extract relates to what a host knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fit {
+    /// The host has read further.
+    Old,
+    /// It ends where the host is.
+    Known,
+    /// It continues what the host knows.
+    Continues,
+    /// Records between are missing.
+    Gap,
+}
+
+impl Extract {
+    /// Tells how the extract relates to a host whose next record is `next`.
+    pub(crate) fn fit(&self, next: Option<Offset>) -> Fit {
+        match next {
+            Some(next) if self.next < next => Fit::Old,
+            Some(next) if self.next == next => Fit::Known,
+            Some(next) if self.from <= next && self.news.is_some() => Fit::Continues,
+            Some(_) | None => Fit::Gap,
+        }
+    }
+}
+
+/// Gives a host's rank among the readers, or none if it isn't one of them.
+///
+/// The first readers of all zones come before the second ones.
+pub(crate) fn find_rank<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>, own: &HostName) -> Option<usize> {
+    let mut zones: BTreeMap<&Zone, Vec<(u64, &HostName)>> = BTreeMap::new();
+    for (host, zone) in hosts {
+        zones
+            .entry(zone)
+            .or_default()
+            .push((xxh3_64(host.as_str().as_bytes()), host));
+    }
+    let count = zones.len();
+    zones.values_mut().enumerate().find_map(|(at, hosts)| {
+        hosts.sort_unstable();
+        let place = hosts.iter().position(|(_, host)| *host == own)?;
+        (place < READERS_PER_ZONE).then_some(place * count + at)
+    })
+}
+
+/// When a host reads the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Schedule {
+    /// Since when the host's knowledge is at least as new as a read at that time.
+    fresh: Option<Instant>,
+    /// When another host's read was last received; at first, when this host started.
+    heard: Instant,
+    /// Between 0 and 1, different for each host.
+    spread: f64,
+}
+
+impl Schedule {
+    pub(crate) fn new(now: Instant, spread: f64) -> Self {
+        Self {
+            fresh: None,
+            heard: now,
+            spread,
+        }
+    }
+
+    /// Notes that all topics were read, in calls that started at the given time.
+    pub(crate) fn note_read(&mut self, started: Instant) {
+        self.fresh = Some(started);
+    }
+
+    /// Notes that another host has read and that everything fits.
+    pub(crate) fn note_heard(&mut self, now: Instant) {
+        self.fresh = Some(now);
+        self.heard = now;
+    }
+
+    /// Gives the time at which a host with the given rank reads, or none for at once.
+    pub(crate) fn due(&self, rank: Option<usize>, is_disturbed: bool) -> Option<Instant> {
+        let period = if is_disturbed { READ_PERIOD_SHORT } else { READ_PERIOD };
+        let delay = match rank {
+            Some(rank) => RANK_STEP * u32::try_from(rank).unwrap_or(RANK_MAX).min(RANK_MAX),
+            None => OTHERS_DELAY.mul_f64(1.0 + OTHERS_SPREAD * self.spread),
+        };
+        self.fresh.map(|fresh| fresh + period + delay)
+    }
+
+    /// Tells whether a host takes part in the election: the readers do, and others if they don't
+    /// hear any.
+    pub(crate) fn stands(&self, now: Instant, rank: Option<usize>) -> bool {
+        rank.is_some() || now >= self.heard + ELECTION_SILENCE
+    }
+
+    /// Age of what the host knows from the store.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        self.fresh.map(|fresh| now.saturating_duration_since(fresh))
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -15,6 +16,9 @@
 /// Upper bounds of the buckets of times, in seconds; from a fast answer to the longest timeout.
 const TIME_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 8.0];
 
+/// Age of something that isn't known yet.
+const UNKNOWN_AGE: f64 = -1.0;
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RouteStatus {
     route: RouteName,
@@ -45,6 +49,10 @@
     hosts: Gauge,
     grantor: Gauge,
     disturbed: Gauge,
+    /// In seconds.
+    store_age: Gauge<f64, AtomicU64>,
+    configuration_age: Gauge<f64, AtomicU64>,
+    owners_age: Gauge<f64, AtomicU64>,
 }
 
 /// What a host believes, at the time at which its metrics are read.
@@ -56,6 +64,12 @@
     pub(crate) hosts: usize,
     pub(crate) is_grantor: bool,
     pub(crate) is_disturbed: bool,
+    /// Time since the store was last known to hold nothing newer.
+    pub(crate) store_age: Option<Duration>,
+    /// Time since the configuration in force was taken into use.
+    pub(crate) configuration_age: Option<Duration>,
+    /// Time since a table of owners of keys last changed.
+    pub(crate) owners_age: Option<Duration>,
 }
 
 impl Metrics {
@@ -72,6 +86,9 @@
             hosts: Gauge::default(),
             grantor: Gauge::default(),
             disturbed: Gauge::default(),
+            store_age: Gauge::default(),
+            configuration_age: Gauge::default(),
+            owners_age: Gauge::default(),
         };
         let r = &mut metrics.registry;
         r.register(
@@ -112,6 +129,25 @@
         ] {
             r.register(name, help, gauge.clone());
         }
+        for (name, help, gauge) in [
+            (
+                "store_age_seconds",
+                "Time since this host last knew all that the store holds; -1 before",
+                &metrics.store_age,
+            ),
+            (
+                "configuration_age_seconds",
+                "Time since the configuration in force was taken into use; -1 without one",
+                &metrics.configuration_age,
+            ),
+            (
+                "owners_age_seconds",
+                "Time since owners of keys last changed; -1 without any",
+                &metrics.owners_age,
+            ),
+        ] {
+            r.register(name, help, gauge.clone());
+        }
         metrics
     }
 
@@ -161,6 +197,10 @@
         self.hosts.set(count(beliefs.hosts));
         self.grantor.set(beliefs.is_grantor.into());
         self.disturbed.set(beliefs.is_disturbed.into());
+        let seconds = |age: Option<Duration>| age.map_or(UNKNOWN_AGE, |age| age.as_secs_f64());
+        self.store_age.set(seconds(beliefs.store_age));
+        self.configuration_age.set(seconds(beliefs.configuration_age));
+        self.owners_age.set(seconds(beliefs.owners_age));
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("a string takes any text");
         text
