Call the store less often in outages, and pack datagrams

Ruled out: longer pauses for all (the return has to be noticed within a few hundred milliseconds by somebody).

Change: after a failed read, hosts that are no readers wait up to 1.2 s and everybody tries one topic only; a host takes part in the election only if it reaches the store; datagrams are packed with flate2, so that the announcements of 100 upstreams fit. The time for lapsed entries counts from the store's return as this host notices it.

Tests: relay::tests::an_outage_costs_few_calls, only_hosts_that_reach_the_store_stand, gateway::tests::peers.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,11 +16,8 @@
 use crate::relay::{Extract, Fit, News, Schedule, Topic, find_rank};
 use crate::types::Offset;
 
-/// Pause after a read that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Most bytes of records that are passed on for one topic, so that a message to all hosts stays
-/// small enough for a datagram.
-const NEWS_MAX: usize = 2_500;
+/// Most bytes of records that are passed on for one topic; packed they fit into a datagram.
+const NEWS_MAX: usize = 24 << 10;
 
 fn name(topic: Topic) -> &'static str {
     match topic {
@@ -38,6 +35,8 @@
     /// Topics that have to be read now.
     wanted: RefCell<BTreeSet<Topic>>,
     asked: Notify,
+    /// The last read failed.
+    is_lost: Cell<bool>,
     pub(crate) schedule: Cell<Schedule>,
 }
 
@@ -47,6 +46,7 @@
             next: RefCell::default(),
             wanted: RefCell::default(),
             asked: Notify::new(),
+            is_lost: Cell::new(false),
             schedule: Cell::new(Schedule::new(Instant::now(), spread)),
         }
     }
@@ -76,48 +76,73 @@
 
 /// Reads the topics when it is this host's turn, for the life of the process.
 pub(crate) async fn follow(gateway: Rc<Gateway>) {
-    let mut lost = BTreeSet::new();
     loop {
         let topics = wait_due(&gateway).await;
         let started = Instant::now();
-        let (operators, upstreams, hosts) = tokio::join!(
-            refresh(&gateway, Topic::Operators, &topics),
-            refresh(&gateway, Topic::Upstreams, &topics),
-            refresh(&gateway, Topic::Hosts, &topics),
-        );
-        let results = [
-            (Topic::Operators, operators),
-            (Topic::Upstreams, upstreams),
-            (Topic::Hosts, hosts),
-        ];
-        let mut extracts = Vec::new();
-        let mut is_failed = false;
-        for (topic, result) in results.into_iter().filter(|(topic, _)| topics.contains(topic)) {
-            match result {
-                Ok(extract) => {
-                    extracts.extend(extract);
-                    if lost.remove(&topic) {
-                        info!(gateway.log, "store regained"; "topic" => name(topic));
-                    }
-                }
-                Err(error) => {
-                    is_failed = true;
-                    gateway.fleet.borrow_mut().note_store_failure(Instant::now());
-                    gateway.feed.wanted.borrow_mut().insert(topic);
-                    if lost.insert(topic) {
-                        warn!(gateway.log, "store lost"; "topic" => name(topic), "error" => %error);
-                    }
-                }
+        // While the store doesn't answer, one call shows its return as well as three.
+        let probe = if gateway.feed.schedule.get().is_failing() {
+            refresh(&gateway, Topic::Upstreams).await
+        } else {
+            Ok(None)
+        };
+        let result = match probe {
+            Ok(_) => refresh_all(&gateway, &topics).await,
+            Err(error) => Err(error),
+        };
+        match result {
+            Ok(extracts) => note_success(&gateway, started, &topics, extracts),
+            Err(error) => {
+                gateway.feed.wanted.borrow_mut().extend(Topic::ALL);
+                let pause = note_failure(&gateway, &error);
+                sleep(pause).await;
             }
         }
-        if is_failed {
-            sleep(RETRY_PAUSE).await;
-        } else if topics.len() == Topic::ALL.len() && gateway.feed.wanted.borrow().is_empty() {
-            let mut schedule = gateway.feed.schedule.get();
-            schedule.note_read(started);
-            gateway.feed.schedule.set(schedule);
-            pass_on(&gateway, extracts);
+    }
+}
+
+/// Reads topics at the same time; gives what can be passed on.
+async fn refresh_all(gateway: &Gateway, topics: &BTreeSet<Topic>) -> Result<Vec<Extract>, StoreError> {
+    let refresh_wanted = async |topic| {
+        if topics.contains(&topic) {
+            refresh(gateway, topic).await
+        } else {
+            Ok(None)
         }
+    };
+    let (operators, upstreams, hosts) = tokio::join!(
+        refresh_wanted(Topic::Operators),
+        refresh_wanted(Topic::Upstreams),
+        refresh_wanted(Topic::Hosts),
+    );
+    Ok([operators?, upstreams?, hosts?].into_iter().flatten().collect())
+}
+
+fn note_success(gateway: &Gateway, started: Instant, topics: &BTreeSet<Topic>, extracts: Vec<Extract>) {
+    if topics.len() == Topic::ALL.len() && gateway.feed.wanted.borrow().is_empty() {
+        let mut schedule = gateway.feed.schedule.get();
+        schedule.note_read(started);
+        gateway.feed.schedule.set(schedule);
+        pass_on(gateway, extracts);
+    }
+}
+
+fn note_failure(gateway: &Gateway, error: &StoreError) -> Duration {
+    gateway.fleet.borrow_mut().note_store_failure(Instant::now());
+    if !gateway.feed.is_lost.replace(true) {
+        warn!(gateway.log, "store lost"; "error" => %error);
+    }
+    let mut schedule = gateway.feed.schedule.get();
+    let pause = schedule.note_failure(rank(gateway));
+    gateway.feed.schedule.set(schedule);
+    pause
+}
+
+/// Notes that the store answers again, before what it holds is taken in: entries may have lapsed
+/// meanwhile and come back from now on.
+fn note_return(gateway: &Gateway) {
+    if gateway.feed.is_lost.replace(false) {
+        info!(gateway.log, "store regained");
+        gateway.fleet.borrow_mut().note_store_failure(Instant::now());
     }
 }
 
@@ -142,16 +167,14 @@
 }
 
 /// Reads a topic, or lists it if the next record isn't known; gives what can be passed on.
-async fn refresh(gateway: &Gateway, topic: Topic, topics: &BTreeSet<Topic>) -> Result<Option<Extract>, StoreError> {
-    if !topics.contains(&topic) {
-        return Ok(None);
-    }
+async fn refresh(gateway: &Gateway, topic: Topic) -> Result<Option<Extract>, StoreError> {
     let Some(from) = gateway.feed.next(topic) else {
         list(gateway, topic).await?;
         return Ok(None);
     };
     match gateway.store.read(name(topic), from).await {
         Ok(batch) => {
+            note_return(gateway);
             if !batch.is_last {
                 gateway.feed.ask(topic);
             }
@@ -168,6 +191,7 @@
 
 async fn list(gateway: &Gateway, topic: Topic) -> Result<(), StoreError> {
     let listing = gateway.store.list(name(topic)).await?;
+    note_return(gateway);
     for record in &listing.records {
         apply_record(gateway, topic, record);
     }
@@ -206,6 +230,7 @@
 
 /// Takes in what another host has read; asks the store for what is missing.
 pub(crate) fn note_extracts(gateway: &Gateway, extracts: &[Extract]) {
+    note_return(gateway);
     let mut is_old = false;
     for extract in extracts {
         let next = gateway.feed.next(extract.topic);
@@ -220,6 +245,8 @@
         };
         if is_missing {
             gateway.feed.ask(extract.topic);
+        } else {
+            gateway.feed.wanted.borrow_mut().remove(&extract.topic);
         }
     }
     if !is_old {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,4 +1,5 @@
 mod feed;
+mod peers;
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,6 +37,13 @@
 /// Silence of all readers after which other hosts take part in the election of the grantor;
 /// longer than the wait of the last reader.
 const ELECTION_SILENCE: Duration = Duration::from_secs(2);
+/// Pause after a failed read; grows by `PAUSE_GROWTH` with each further one.
+const PAUSE_LEAST: Duration = Duration::from_millis(150);
+const PAUSE_GROWTH: u32 = 2;
+/// Longest pause of a reader while the store doesn't answer: what it reads is what all wait for.
+const PAUSE_READER: Duration = Duration::from_millis(300);
+/// Longest pause of the others, so that an outage isn't answered by calls that grow with the hosts.
+const PAUSE_OTHERS: Duration = Duration::from_millis(1_200);
 
 /// Bytes of an item in a message beside its names and its value.
 const NEWS_OVERHEAD: usize = 32;
@@ -103,6 +110,11 @@
 }
 
 impl Extract {
+    /// Leaves only the offsets, for a message that would be too large.
+    pub(crate) fn without_news(self) -> Self {
+        Self { news: None, ..self }
+    }
+
     /// Tells how the extract relates to a host whose next record is `next`.
     pub(crate) fn fit(&self, next: Option<Offset>) -> Fit {
         match next {
@@ -140,6 +152,8 @@
     fresh: Option<Instant>,
     /// When another host's read was last received; at first, when this host started.
     heard: Instant,
+    /// Pause after the next failure; zero while reads succeed.
+    pause: Duration,
     /// Between 0 and 1, different for each host.
     spread: f64,
 }
@@ -149,6 +163,7 @@
         Self {
             fresh: None,
             heard: now,
+            pause: Duration::ZERO,
             spread,
         }
     }
@@ -156,12 +171,14 @@
     /// Notes that all topics were read, in calls that started at the given time.
     pub(crate) fn note_read(&mut self, started: Instant) {
         self.fresh = Some(started);
+        self.pause = Duration::ZERO;
     }
 
     /// Notes that another host has read and that everything fits.
     pub(crate) fn note_heard(&mut self, now: Instant) {
         self.fresh = Some(now);
         self.heard = now;
+        self.pause = Duration::ZERO;
     }
 
     /// Gives the time at which a host with the given rank reads, or none for at once.
@@ -174,10 +191,24 @@
         self.fresh.map(|fresh| fresh + period + delay)
     }
 
-    /// Tells whether a host takes part in the election: the readers do, and others if they don't
-    /// hear any.
+    /// Notes that a read failed; gives the pause before the next one.
+    pub(crate) fn note_failure(&mut self, rank: Option<usize>) -> Duration {
+        let longest = if rank.is_some() { PAUSE_READER } else { PAUSE_OTHERS };
+        let pause = self.pause.clamp(PAUSE_LEAST, longest);
+        self.pause = pause * PAUSE_GROWTH;
+        pause
+    }
+
+    /// Tells whether reads have failed since the last one that succeeded or was heard of.
+    pub(crate) fn is_failing(&self) -> bool {
+        !self.pause.is_zero()
+    }
+
+    /// Tells whether a host takes part in the election: the readers do, and others that reach the
+    /// store but don't hear any reader.
     pub(crate) fn stands(&self, now: Instant, rank: Option<usize>) -> bool {
-        rank.is_some() || now >= self.heard + ELECTION_SILENCE
+        let reaches_store = self.age(now).is_some_and(|age| age < ELECTION_SILENCE);
+        rank.is_some() || (now >= self.heard + ELECTION_SILENCE && reaches_store)
     }
 
     /// Age of what the host knows from the store.
