Don't take a refused connection for the end of an upstream

The upstream was alive; it refuses connections beyond its limit, which is lower while its queue is long.

Change: refused connections free no keys any more; they wait for the hold to run out or for a later run.

The keys of a crashed owner wait about 2.5 s instead of 0.4 s.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -244,7 +244,7 @@
     let candidates: Vec<Candidate> = fleet
         .in_pool(name)
         .filter(|u| fleet.is_in_service(u))
-        .filter(|u| !silent.contains(&Holder::of(&u.said)) && !pool.grantor.has_ended(&Holder::of(&u.said)))
+        .filter(|u| !silent.contains(&Holder::of(&u.said)))
         .map(|u| Candidate {
             holder: Holder::of(&u.said),
             capacity: f64::from(u.said.slots) / (usual * u.load.pace.clamp(0.4, 3.0)),
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -82,8 +82,7 @@
             StatusCode::MISDIRECTED_REQUEST => GrantOutcome::Broken,
             _ => GrantOutcome::Unknown,
         },
-        Err(CallError::NotSent(_) | CallError::Broken(_)) => GrantOutcome::Broken,
-        Err(CallError::Refused) => GrantOutcome::Refused,
+        Err(CallError::NotSent(_) | CallError::Broken(_) | CallError::Refused) => GrantOutcome::Broken,
         Err(CallError::Silent(_)) => GrantOutcome::Unknown,
     }
 }
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -14,8 +14,6 @@
 
 /// Time between two orders that failed, for one part.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time between two refused connections that shows that a run has ended.
-const REFUSAL_GAP: Duration = Duration::from_millis(200);
 /// Time between two probes of an upstream that doesn't answer grants.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// Clock error of an upstream that is allowed for, as a divisor of the hold: PROTOCOL says 2%, so
@@ -61,7 +59,7 @@
 pub(crate) enum ReleaseOutcome {
     /// The keys are free; with the token for a warm start of the next owner, if there is one.
     Released(Option<String>),
-    /// Nobody listens at the upstream's address any more.
+    /// The upstream refused the connection; it may live and have too many.
     Refused,
     Unknown,
 }
@@ -84,8 +82,6 @@
     Fenced,
     /// No answer came; the connection didn't break.
     Unknown,
-    /// Nobody listens at the upstream's address any more.
-    Refused,
     /// The connection broke or couldn't be opened: the upstream may have started anew.
     Broken,
 }
@@ -117,10 +113,6 @@
     progress: BTreeMap<u64, Progress>,
     /// Upstreams that don't answer grants.
     silent: BTreeMap<Holder, Silence>,
-    /// First time at which nobody listened at the address of a run whose connection had ended.
-    refused: BTreeMap<Holder, Instant>,
-    /// Runs that have ended: their connections broke and nobody listens at their addresses.
-    ended: BTreeSet<Holder>,
 }
 
 /// An upstream that doesn't answer grants.
@@ -149,24 +141,6 @@
             sent,
             progress: BTreeMap::new(),
             silent: BTreeMap::new(),
-            refused: BTreeMap::new(),
-            ended: BTreeSet::new(),
-        }
-    }
-
-    /// Tells whether a run is known to have ended.
-    pub(crate) fn has_ended(&self, holder: &Holder) -> bool {
-        self.ended.contains(holder)
-    }
-
-    /// Notes that nobody listens at a run's address.
-    ///
-    /// A process that lives keeps listening, so two refusals some time apart show its end. One alone
-    /// may be a network's.
-    fn note_refused(&mut self, now: Instant, holder: &Holder) {
-        let first = *self.refused.entry(holder.clone()).or_insert(now);
-        if now >= first + REFUSAL_GAP {
-            self.ended.insert(holder.clone());
         }
     }
 
@@ -239,8 +213,8 @@
             let last_sent = self.sent.get(holder).copied();
             let runs_out = last_sent.map(|sent| sent + self.hold.time + self.hold.time / CLOCK_MARGIN + TRAVEL_TIME);
             let is_same = part.owner.as_ref() == Some(holder);
-            let is_over =
-                is_same || is_ended(holder) || self.ended.contains(holder) || runs_out.is_none_or(|end| end <= now);
+            // A refused connection shows nothing: a live upstream with too many refuses more.
+            let is_over = is_same || is_ended(holder) || runs_out.is_none_or(|end| end <= now);
             if is_over || progress.released.contains(holder) {
                 continue;
             }
@@ -280,8 +254,6 @@
     fn probe_silent(&mut self, now: Instant, is_known: &impl Fn(&Holder) -> bool, actions: &mut Vec<Action>) {
         let parts = &self.table.parts;
         self.silent.retain(|holder, _| is_known(holder));
-        self.refused.retain(|holder, _| is_known(holder));
-        self.ended.retain(is_known);
         for (holder, silence) in &mut self.silent {
             let is_owner = parts.iter().any(|part| part.owner.as_ref() == Some(holder));
             if silence.next <= now && !is_owner {
@@ -308,7 +280,7 @@
         self.saved_fence = self.saved_fence.max(last_fence);
     }
 
-    /// Notes how a grant ended that was sent at `sent`; true if requests may go there from now on.
+    /// Notes how a grant ended that was sent at `sent`.
     pub(crate) fn note_grant(
         &mut self,
         now: Instant,
@@ -316,19 +288,12 @@
         fence: u64,
         sent: Instant,
         outcome: GrantOutcome,
-    ) -> bool {
-        match outcome {
-            GrantOutcome::Refused => self.note_refused(now, holder),
-            GrantOutcome::Taken | GrantOutcome::Fenced | GrantOutcome::Unknown => {
-                self.refused.remove(holder);
-            }
-            GrantOutcome::Broken => {}
-        }
+    ) {
         match outcome {
             GrantOutcome::Taken | GrantOutcome::Fenced => {
                 self.silent.remove(holder);
             }
-            GrantOutcome::Unknown | GrantOutcome::Broken | GrantOutcome::Refused => {
+            GrantOutcome::Unknown | GrantOutcome::Broken => {
                 let silence = Silence {
                     since: now,
                     next: now + PROBE_PERIOD,
@@ -337,7 +302,7 @@
             }
         }
         let Some(part) = self.table.parts.iter_mut().find(|part| part.fence == fence) else {
-            return false;
+            return;
         };
         let progress = self.progress.entry(fence).or_default();
         progress.is_granting = false;
@@ -350,16 +315,11 @@
                     part.ready = true;
                     part.previous.clear();
                     self.is_changed = true;
-                    return true;
                 }
-                false
-            }
-            GrantOutcome::Unknown => {
-                progress.next_try = Some(now + RETRY_DELAY);
-                false
             }
+            GrantOutcome::Unknown => progress.next_try = Some(now + RETRY_DELAY),
             // The next life of an upstream must not take keys under a fence of the last one.
-            GrantOutcome::Broken | GrantOutcome::Refused | GrantOutcome::Fenced => {
+            GrantOutcome::Broken | GrantOutcome::Fenced => {
                 let mut moved = progress.clone();
                 moved.next_try = Some(now + RETRY_DELAY);
                 moved.granted = None;
@@ -367,16 +327,12 @@
                 self.table.renew_fence(fence);
                 self.progress.insert(self.table.last_fence, moved);
                 self.is_changed = true;
-                false
             }
         }
     }
 
     /// Notes how a release ended.
     pub(crate) fn note_release(&mut self, now: Instant, holder: &Holder, fence: u64, outcome: ReleaseOutcome) {
-        if outcome == ReleaseOutcome::Refused {
-            self.note_refused(now, holder);
-        }
         let Some(progress) = self.progress.get_mut(&fence) else {
             return;
         };
