Confirm the grantor by witnesses, so that the next one waits less

A table also named only the last grantor: with two losses in a row the third one could count the first as stopped.

Change: a grantor gives orders while the store has confirmed it within 1.5 s, or most of its witnesses have, which it names in the saved table; a new one tells the witnesses its epoch and then waits 1.5 s. Tables name all earlier grantors that may be at work.

Tests: keys::tests::succession, and a_key_never_has_two_owners plays hosts that lose the store or each other, restart, and take over; it checks that no earlier grantor may give orders once the newest relies on it.

--- a/src/gateway/counting.rs
+++ b/src/gateway/counting.rs
@@ -16,7 +16,7 @@
 const SAVE_PERIOD: Duration = Duration::from_secs(15);
 
 /// Gives the time since the Unix epoch; a clock before it counts as there.
-fn time_of_day() -> Duration {
+pub(super) fn time_of_day() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
@@ -29,7 +29,7 @@
 
 /// Starts to save the counts.
 pub(crate) fn start_counting(gateway: &Rc<Gateway>) {
-    let key = format!("{}/{}", gateway.settings.host, time_of_day().as_millis());
+    let key = format!("{}/{}", gateway.settings.host, gateway.run().born);
     *gateway.count_key.borrow_mut() = key;
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
--- a/src/gateway/election.rs
+++ b/src/gateway/election.rs
@@ -11,9 +11,8 @@
 use super::grants::{Led, PRODUCER};
 use super::state::Gateway;
 use super::watch::{HOST_PREFIX, TABLE_PREFIX};
-use crate::keys::KeyTable;
+use crate::keys::{KeyTable, Support};
 use crate::platform::{HOST_TOPIC, Member, StoreError, Tail};
-use crate::types::HostName;
 
 /// Group whose member with the first partition is the grantor.
 const GROUP: &str = "ragworthub-grantor";
@@ -48,38 +47,6 @@
     }
 }
 
-/// Stops granting for a grantor with a newer epoch.
-pub(crate) fn stand_down(gateway: &Gateway, epoch: u64) {
-    let mut led = gateway.grants.led.borrow_mut();
-    if led.as_ref().is_some_and(|led| led.epoch < epoch) {
-        info!(gateway.log, "grantor stops"; "why" => "another host took over", "epoch" => epoch);
-        *led = None;
-    }
-}
-
-/// Takes in that the grantor before this one has stopped.
-pub(crate) fn note_stopped(gateway: &Gateway, epoch: u64, host: &HostName) {
-    let mut led = gateway.grants.led.borrow_mut();
-    let Some(led) = led.as_mut().filter(|led| led.epoch == epoch) else {
-        return;
-    };
-    if led.former.as_ref() == Some(host) {
-        info!(gateway.log, "former grantor has stopped"; "former" => %host, "epoch" => epoch);
-        led.former = None;
-        led.is_alone = true;
-        for pool in led.pools.values_mut() {
-            pool.grantor.note_stopped(Instant::now());
-        }
-    }
-}
-
-/// Gives the former grantor that this one has yet to hear of, with the epoch of this one.
-pub(crate) fn find_former(gateway: &Gateway) -> Option<(HostName, u64)> {
-    let led = gateway.grants.led.borrow();
-    let led = led.as_ref()?;
-    Some((led.former.clone()?, led.epoch))
-}
-
 pub(super) async fn elect(gateway: Rc<Gateway>) {
     let mut is_member = false;
     while !gateway.is_stopping.get() {
@@ -143,7 +110,7 @@
     }
     if is_leading {
         if let Some(led) = gateway.grants.led.borrow_mut().as_mut() {
-            led.confirmed = started;
+            led.support.confirmed = started;
             led.is_suspended = false;
         }
         return;
@@ -186,17 +153,16 @@
             None => return Err(StoreError::Unknown(format!("record {} can't be read", record.key))),
         }
     }
-    let newest = found.values().max_by_key(|table| table.epoch);
-    let former = newest.map(|table| table.grantor.clone());
-    let own = &gateway.settings.host;
+    gateway.grants.note_epoch(epoch);
     Ok(Led {
         epoch,
         since: Instant::now(),
-        confirmed: started,
+        support: Support {
+            confirmed: started,
+            vouches: BTreeMap::new(),
+        },
         is_suspended: false,
-        // This process leads nothing, and an earlier one of this host has ended.
-        is_alone: former.as_ref().is_none_or(|former| former == own),
-        former: former.filter(|former| former != own),
+        answering: BTreeMap::new(),
         found,
         pools: BTreeMap::new(),
     })
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -20,12 +20,12 @@
 use super::watch::{TABLE_PREFIX, note_change};
 use crate::catalog::Catalog;
 use crate::keys::{
-    Action, Candidate, GrantOutcome, Grantor, Hold, Holder, KeyCounts, KeyRates, KeyTable, Move, ReleaseOutcome, Span,
-    plan_balance, plan_orphans,
+    Action, Candidate, GrantOutcome, Grantor, Hold, Holder, HostRun, KeyCounts, KeyRates, KeyTable, Move,
+    ReleaseOutcome, Span, Support, plan_balance, plan_orphans,
 };
 use crate::platform::{HOST_TOPIC, Order, StoreError, Tail};
 use crate::relay::Topic;
-use crate::types::{HostName, PoolName};
+use crate::types::PoolName;
 
 /// Producer under which the grantor saves, so that a newer epoch shuts out an older one.
 pub(super) const PRODUCER: &str = "grantor";
@@ -34,9 +34,6 @@
 const GRANT_TIME: Duration = Duration::from_millis(2_500);
 /// Time after which a grant is given again; four tries fit into its time.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(600);
-/// Longest time for which a grantor renews without hearing from the store. An outage of the store
-/// must not take the keys away; a new grantor waits for this time where it can't be sure.
-const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(12);
 /// Time between two steps of the grantor.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// Gap between two steps after which this process may have been frozen: the store must confirm it
@@ -65,13 +62,11 @@
 pub(super) struct Led {
     pub(super) epoch: u64,
     pub(super) since: Instant,
-    /// Start of the last call in which the store confirmed it.
-    pub(super) confirmed: Instant,
+    /// What confirms it: the store, or other hosts.
+    pub(super) support: Support,
     pub(super) is_suspended: bool,
-    /// Grantor before this one, which may still renew grants.
-    pub(super) former: Option<HostName>,
-    /// No earlier grantor can still be at work.
-    pub(super) is_alone: bool,
+    /// When hosts last answered, for the choice of witnesses.
+    pub(super) answering: BTreeMap<HostRun, Instant>,
     /// Tables found when it took over, for pools that are not led yet.
     pub(super) found: BTreeMap<PoolName, KeyTable>,
     pub(super) pools: BTreeMap<PoolName, LedPool>,
@@ -85,11 +80,18 @@
     pub(super) addresses: RefCell<BTreeMap<Holder, SocketAddr>>,
     pub(super) endpoints: RefCell<BTreeMap<Holder, Rc<Endpoint>>>,
     pub(super) generation: Cell<u64>,
+    /// Newest epoch of a grantor that this host has heard of.
+    pub(super) seen_epoch: Cell<u64>,
     /// The member has left since this process started, so its next epoch is a new one.
     pub(super) is_new_member: Cell<bool>,
 }
 
 impl Grants {
+    /// Notes that a grantor has an epoch; older ones aren't confirmed from now on.
+    pub(super) fn note_epoch(&self, epoch: u64) {
+        self.seen_epoch.set(self.seen_epoch.get().max(epoch));
+    }
+
     pub(crate) fn is_leading(&self) -> bool {
         self.led.borrow().is_some()
     }
@@ -159,7 +161,7 @@
     let Some(led) = guard.as_mut() else {
         return;
     };
-    if led.is_suspended || now > led.confirmed + UNCONFIRMED_LIMIT {
+    if led.is_suspended {
         return;
     }
     add_pools(gateway, now, led, catalog);
@@ -174,7 +176,7 @@
         let addresses = gateway.grants.addresses.borrow();
         let is_ended = |holder: &Holder| fleet.get(&holder.upstream).is_some_and(|u| u.said.born > holder.born);
         let is_known = |holder: &Holder| addresses.contains_key(holder);
-        let actions = pool.grantor.tick(now, is_ended, is_known);
+        let actions = pool.grantor.tick(now, &led.support, is_ended, is_known);
         for action in actions {
             start_action(gateway, epoch, name, action, saves);
         }
@@ -185,26 +187,16 @@
     let hold = Hold {
         time: GRANT_TIME.min(gateway.bounds.grant),
         renewal: RENEWAL_PERIOD,
-        takeover: if led.is_alone {
-            Duration::ZERO
-        } else {
-            UNCONFIRMED_LIMIT
-        },
     };
     for pool in catalog.pools.values().filter(|pool| pool.is_sharded) {
         if led.pools.contains_key(&pool.name) {
             continue;
         }
         let host = &gateway.settings.host;
-        let mut table = led
-            .found
-            .remove(&pool.name)
-            .unwrap_or_else(|| KeyTable::new(pool.name.clone(), host.clone(), led.epoch));
-        table.grantor = host.clone();
-        table.epoch = led.epoch;
-        table.revision = 0;
+        let found = led.found.remove(&pool.name);
+        let table = found.unwrap_or_else(|| KeyTable::new(pool.name.clone(), host.clone(), led.epoch));
         let led_pool = LedPool {
-            grantor: Grantor::take_over(now, table, hold),
+            grantor: Grantor::take_over(now, host, led.epoch, table, hold),
             rates: KeyRates::default(),
             planned: now,
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod request;
 mod state;
 mod stop;
+mod support;
 mod watch;
 
 #[cfg(test)]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,14 +16,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::election::{find_former, note_stopped, stand_down};
 use super::feed::note_extracts;
 use super::grants::note_counts;
 use super::orders::note_cold;
 use super::state::{Gateway, Presence};
+use super::support::{confirm, keep_support, note_told, note_vouch, stand_down};
 use super::watch::{HOST_PREFIX, note_change};
 use crate::fleet::Fingerprint;
-use crate::keys::{KeyCounts, TableChange};
+use crate::keys::{HostRun, KeyCounts, TableChange};
 use crate::platform::HOST_TOPIC;
 use crate::relay::{Extract, Topic};
 use crate::types::{HostName, UpstreamName};
@@ -53,8 +53,12 @@
 pub(crate) enum Message {
     /// Requests by key, for the grantor.
     Counts(KeyCounts),
-    /// A grantor asks the one before it to stop.
+    /// A grantor tells those before it to stop, and their witnesses not to confirm them any more.
     StandDown { epoch: u64 },
+    /// A grantor asks whether a newer one is known; the time is of its own clock.
+    Ask { epoch: u64, asked_ms: u64 },
+    /// The answer: none is.
+    Vouch { run: HostRun, epoch: u64, asked_ms: u64 },
     /// Requests that may have crashed upstreams.
     Crashes(Vec<Fingerprint>),
     /// An upstream turned cold and may not have announced it yet.
@@ -65,8 +69,8 @@
     Refresh,
     /// What a host has read from the store's topics.
     Read(Vec<Extract>),
-    /// The answer: the host grants nothing under an older epoch.
-    Stopped { host: HostName, epoch: u64 },
+    /// The answer to a grantor that took over: the host grants nothing under an older epoch.
+    Stopped { run: HostRun, epoch: u64 },
 }
 
 /// Messages to all other hosts that wait to be sent.
@@ -96,6 +100,7 @@
     spawn_local(announce(Rc::clone(gateway), peers));
     spawn_local(receive(Rc::clone(gateway), Rc::clone(&socket)));
     spawn_local(send_outbox(Rc::clone(gateway), Rc::clone(&socket)));
+    spawn_local(keep_support(Rc::clone(gateway), Rc::clone(&socket)));
     spawn_local(send_counts(Rc::clone(gateway), socket));
     Ok(())
 }
@@ -130,11 +135,13 @@
         };
         match decode(&buffer[..length]) {
             Ok(Message::Counts(counts)) => note_counts(&gateway, &counts),
-            Ok(Message::StandDown { epoch }) => {
-                stand_down(&gateway, epoch);
-                let host = gateway.settings.host.clone();
-                send(&socket, sender, &Message::Stopped { host, epoch }).await;
+            Ok(Message::StandDown { epoch }) => send(&socket, sender, &stand_down(&gateway, epoch)).await,
+            Ok(Message::Ask { epoch, asked_ms }) => {
+                if let Some(answer) = confirm(&gateway, epoch, asked_ms) {
+                    send(&socket, sender, &answer).await;
+                }
             }
+            Ok(Message::Vouch { run, epoch, asked_ms }) => note_vouch(&gateway, run, epoch, asked_ms),
             Ok(Message::Crashes(requests)) => {
                 let mut suspects = gateway.suspects.borrow_mut();
                 for request in requests {
@@ -145,7 +152,7 @@
             Ok(Message::Change(change)) => note_change(&gateway, &change),
             Ok(Message::Read(extracts)) => note_extracts(&gateway, &extracts),
             Ok(Message::Refresh) => gateway.feed.ask(Topic::Hosts),
-            Ok(Message::Stopped { host, epoch }) => note_stopped(&gateway, epoch, &host),
+            Ok(Message::Stopped { run, epoch }) => note_told(&gateway, &run, epoch),
             Err(error) => warn!(gateway.log, "datagram can't be read"; "bytes" => length, "error" => error),
         }
     }
@@ -154,7 +161,6 @@
 async fn send_counts(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
         sleep(COUNT_PERIOD).await;
-        ask_former(&gateway, &socket).await;
         let pools: Vec<_> = gateway.tables.borrow().values().cloned().collect();
         for table in pools {
             let mut counts = gateway.key_counts.borrow_mut().remove(&table.pool).unwrap_or_default();
@@ -183,16 +189,6 @@
     }
 }
 
-async fn ask_former(gateway: &Gateway, socket: &UdpSocket) {
-    let Some((former, epoch)) = find_former(gateway) else {
-        return;
-    };
-    let address = gateway.hosts.borrow().get(&former).map(|presence| presence.peers);
-    if let Some(address) = address {
-        send(socket, address, &Message::StandDown { epoch }).await;
-    }
-}
-
 /// Sends the messages of the outbox to all other hosts.
 async fn send_outbox(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
@@ -216,7 +212,7 @@
     }
 }
 
-async fn send(socket: &UdpSocket, address: SocketAddr, message: &Message) {
+pub(super) async fn send(socket: &UdpSocket, address: SocketAddr, message: &Message) {
     // Lost messages are made up for by later ones, also if the system refuses to send.
     let _ = socket.send_to(&encode(message), address).await;
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::connections::Connections;
+use super::counting::time_of_day;
 use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
@@ -21,7 +22,7 @@
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::Sheet;
 use crate::fleet::{Fleet, Suspects, Upstream};
-use crate::keys::KeyTable;
+use crate::keys::{HostRun, KeyTable};
 use crate::platform::{Bounds, Store};
 use crate::relay::Topic;
 use crate::settings::Settings;
@@ -58,6 +59,9 @@
 #[derive(Debug)]
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
+    /// Start of the process by the steady clock, and in Unix milliseconds.
+    pub(crate) started: Instant,
+    born: u64,
     pub(crate) bounds: Bounds,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
@@ -107,6 +111,8 @@
             bounds,
             log,
             settings,
+            started: Instant::now(),
+            born: u64::try_from(time_of_day().as_millis()).unwrap_or(u64::MAX),
             metrics: Metrics::new(),
             catalog: RefCell::default(),
             fleet: RefCell::default(),
@@ -138,6 +144,14 @@
         }
     }
 
+    /// Gives this run of the host's process.
+    pub(crate) fn run(&self) -> HostRun {
+        HostRun {
+            host: self.settings.host.clone(),
+            born: self.born,
+        }
+    }
+
     /// Tells whether requests can be served: configuration, upstreams and owners of keys are known.
     pub(crate) fn is_ready(&self) -> bool {
         let catalog = self.catalog.borrow();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -203,6 +203,7 @@
     if known.is_some_and(|known| !table.is_after(&known)) {
         return;
     }
+    gateway.grants.note_epoch(table.epoch);
     info!(gateway.log, "owners of keys known"; "pool" => %table.pool, "grantor" => %table.grantor,
         "epoch" => table.epoch, "revision" => table.revision, "last_fence" => table.last_fence,
         "parts" => table.parts.len(), "ready" => table.parts.iter().filter(|p| p.ready).count());
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -10,7 +10,8 @@
 
 use tokio::time::Instant;
 
-use super::{Holder, KeyTable, Move, Span};
+use super::{Holder, HostRun, KeyTable, Move, Span, Succession, Support, choose_witnesses};
+use crate::types::HostName;
 
 /// Time between two orders that failed, for one part.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -29,8 +30,6 @@
     pub(crate) time: Duration,
     /// Time after which it is given again.
     pub(crate) renewal: Duration,
-    /// How long an earlier grantor may have renewed grants after this one took over.
-    pub(crate) takeover: Duration,
 }
 
 /// What the process around the grantor has to do.
@@ -104,6 +103,12 @@
 pub(crate) struct Grantor {
     table: KeyTable,
     hold: Hold,
+    /// Grantors before this one.
+    succession: Succession,
+    /// Witnesses in the last table that was saved; a next grantor asks these or those of the table
+    /// that is being saved.
+    saved_witnesses: BTreeSet<HostRun>,
+    saving_witnesses: BTreeSet<HostRun>,
     /// Highest fence of the last table that was saved.
     saved_fence: u64,
     is_saving: bool,
@@ -124,18 +129,30 @@
 }
 
 impl Grantor {
-    /// Takes over a table whose last grants an earlier grantor may have given.
-    pub(crate) fn take_over(now: Instant, table: KeyTable, hold: Hold) -> Self {
+    /// Takes over a table whose last grants earlier grantors may have given.
+    ///
+    /// Earlier grantors on the same host have ended: a host has one process, and that leads nothing.
+    pub(crate) fn take_over(now: Instant, host: &HostName, epoch: u64, mut table: KeyTable, hold: Hold) -> Self {
+        let formers = table.grantors().filter(|former| former.host != *host);
+        let succession = Succession::new(now, formers);
+        table.grantor = host.clone();
+        table.epoch = epoch;
+        table.revision = 0;
+        table.witnesses = BTreeSet::new();
+        let stops = succession.stops().unwrap_or(now);
         let holders = table
             .parts
             .iter()
             .flat_map(|part| part.owner.iter().chain(&part.previous));
-        let sent = holders.map(|holder| (holder.clone(), now + hold.takeover)).collect();
+        let sent = holders.map(|holder| (holder.clone(), stops)).collect();
         Self {
             // Only the saved table tells the next grantor who this one is.
             saved_fence: 0,
             table,
             hold,
+            succession,
+            saved_witnesses: BTreeSet::new(),
+            saving_witnesses: BTreeSet::new(),
             is_saving: false,
             is_changed: true,
             sent,
@@ -148,13 +165,36 @@
         &self.table
     }
 
-    /// Notes that the earlier grantor has stopped by now.
-    pub(crate) fn note_stopped(&mut self, now: Instant) {
+    /// Notes that a host knows of this grantor's epoch: it gives no grants under older ones and
+    /// confirms none.
+    pub(crate) fn note_told(&mut self, now: Instant, run: &HostRun) {
+        self.succession.note_told(now, run);
+        // This grantor's own grants were all sent by now.
+        let stops = self.succession.stops().map_or(now, |stops| stops.max(now));
         for sent in self.sent.values_mut() {
-            *sent = (*sent).min(now);
+            *sent = (*sent).min(stops);
         }
     }
 
+    /// Grantors before this one that may still give grants.
+    pub(crate) fn succession(&self) -> &Succession {
+        &self.succession
+    }
+
+    /// Takes hosts that answer as witnesses; takes effect once saved.
+    pub(crate) fn set_witnesses(&mut self, answering: &[HostRun]) {
+        let chosen = choose_witnesses(&self.table.witnesses, answering);
+        if chosen != self.table.witnesses {
+            self.table.witnesses = chosen;
+            self.is_changed = true;
+        }
+    }
+
+    /// Tells whether this grantor may give orders: no later one can rely on its having stopped.
+    pub(super) fn may_order(&self, now: Instant, support: &Support) -> bool {
+        support.allows(now, &self.saved_witnesses) && (!self.is_saving || support.allows(now, &self.saving_witnesses))
+    }
+
     /// Changes owners; takes effect once saved.
     pub(crate) fn apply(&mut self, moves: &[Move]) {
         for next in moves {
@@ -177,20 +217,25 @@
     pub(crate) fn tick(
         &mut self,
         now: Instant,
+        support: &Support,
         is_ended: impl Fn(&Holder) -> bool,
         is_known: impl Fn(&Holder) -> bool,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        for at in 0..self.table.parts.len() {
-            if self.table.parts[at].fence <= self.saved_fence {
-                self.step_part(now, at, &is_ended, &is_known, &mut actions);
+        if self.may_order(now, support) {
+            for at in 0..self.table.parts.len() {
+                if self.table.parts[at].fence <= self.saved_fence {
+                    self.step_part(now, at, &is_ended, &is_known, &mut actions);
+                }
             }
+            self.probe_silent(now, &is_known, &mut actions);
         }
         self.forget_progress();
-        self.probe_silent(now, &is_known, &mut actions);
         if self.is_changed && !self.is_saving {
             self.is_changed = false;
             self.is_saving = true;
+            self.saving_witnesses = self.table.witnesses.clone();
+            self.table.formers = self.succession.remaining(now);
             self.table.revision += 1;
             actions.push(Action::Save(self.table.clone()));
         }
@@ -277,6 +322,7 @@
     /// Notes that a table is saved.
     pub(crate) fn note_saved(&mut self, last_fence: u64) {
         self.is_saving = false;
+        self.saved_witnesses = std::mem::take(&mut self.saving_witnesses);
         self.saved_fence = self.saved_fence.max(last_fence);
     }
 
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -15,6 +15,7 @@
 mod grantor;
 mod plan;
 mod rates;
+mod succession;
 
 #[cfg(test)]
 mod tests;
@@ -22,6 +23,7 @@
 pub(crate) use grantor::{Action, GrantOutcome, Grantor, Hold, ReleaseOutcome};
 pub(crate) use plan::{Candidate, Move, plan_balance, plan_orphans};
 pub(crate) use rates::{KeyCounts, KeyRates};
+pub(crate) use succession::{Former, HostRun, Succession, Support, choose_witnesses};
 
 /// Number of keys, which are 0 to 65535.
 pub(crate) const KEYS: usize = 1 << 16;
@@ -96,6 +98,12 @@
     pub(crate) last_fence: u64,
     /// Ordered by key, without gaps.
     pub(crate) parts: Vec<Part>,
+    /// Hosts that confirm the grantor while the store doesn't.
+    #[serde(default)]
+    pub(crate) witnesses: BTreeSet<HostRun>,
+    /// Earlier grantors that may still give grants.
+    #[serde(default)]
+    pub(crate) formers: Vec<Former>,
 }
 
 /// What changed from one save of a table to a later one.
@@ -126,9 +134,21 @@
                 ready: false,
                 previous: BTreeSet::new(),
             }],
+            witnesses: BTreeSet::new(),
+            formers: Vec::new(),
         }
     }
 
+    /// Gives all grantors that may still give grants by this table, as far as the table tells.
+    pub(crate) fn grantors(&self) -> impl Iterator<Item = Former> {
+        let last = Former {
+            host: self.grantor.clone(),
+            epoch: self.epoch,
+            witnesses: self.witnesses.clone(),
+        };
+        self.formers.iter().cloned().chain([last])
+    }
+
     /// Finds the part with a key.
     ///
     /// # Panics
--- a/src/keys/tests.rs
+++ b/src/keys/tests/mod.rs
@@ -1,18 +1,21 @@
-use std::collections::{BTreeMap, BTreeSet};
+mod succession;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use proptest::prelude::*;
 use tokio::time::Instant;
 
+use super::succession::UNCONFIRMED_LIMIT;
 use super::{
-    Action, Candidate, GrantOutcome, Grantor, Hold, Holder, KeyRates, KeyTable, Move, ReleaseOutcome, Span,
-    plan_balance, plan_orphans,
+    Action, Candidate, GrantOutcome, Grantor, Hold, Holder, HostRun, KeyRates, KeyTable, Move, ReleaseOutcome, Span,
+    Support, plan_balance, plan_orphans,
 };
+use crate::types::HostName;
 
 const HOLD: Hold = Hold {
     time: Duration::from_millis(3_200),
     renewal: Duration::from_millis(800),
-    takeover: Duration::from_secs(12),
 };
 const STEP: Duration = Duration::from_millis(50);
 
@@ -35,6 +38,18 @@
     KeyTable::new("placas".parse().expect("a name"), "host-a".parse().expect("a name"), 1)
 }
 
+fn host(name: &str) -> HostName {
+    name.parse().expect("a name")
+}
+
+/// The store confirms a grantor at the given time.
+fn confirmed(now: Instant) -> Support {
+    Support {
+        confirmed: now,
+        vouches: BTreeMap::new(),
+    }
+}
+
 fn span(first: u16, last: u16) -> Span {
     Span { first, last }
 }
@@ -276,14 +291,27 @@
     Move(u16, u16, usize),
     /// Orders to a server get lost from now on, or arrive again.
     Cut(usize, bool),
+    /// The grantor loses the store and is the only one to reach a server; another host takes over
+    /// and gives the server's keys to a third.
+    Usurp {
+        by: usize,
+        server: usize,
+        to: usize,
+    },
     /// A server's process ends for good.
     Crash(usize),
     /// A live server refuses connections from now on, as it has too many, or takes them again.
     Full(usize, bool),
     /// Answers of a server get lost from now on, or arrive again.
     Deaf(usize, bool),
-    /// A new grantor takes over; the old one goes on renewing for a while, or has stopped.
-    TakeOver(bool),
+    /// A host takes over as the grantor.
+    TakeOver(usize),
+    /// A host loses the store from now on, or reaches it again.
+    CutStore(usize, bool),
+    /// Hosts reach only those on their side from now on; a host's bit gives its side.
+    Split(u8),
+    /// A host's process ends and starts again.
+    Restart(usize),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -294,60 +322,161 @@
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, cut)| Event::Cut(server, cut)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, deaf)| Event::Deaf(server, deaf)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, full)| Event::Full(server, full)),
-        1 => any::<bool>().prop_map(Event::TakeOver),
+        2 => (0..HOSTS).prop_map(Event::TakeOver),
+        1 => (0..HOSTS, 0_usize..3, 0_usize..3).prop_map(|(by, server, to)| Event::Usurp { by, server, to }),
+        2 => (0..HOSTS, any::<bool>()).prop_map(|(host, cut)| Event::CutStore(host, cut)),
+        2 => any::<u8>().prop_map(Event::Split),
+        1 => Just(Event::Split(0)),
+        1 => (0..HOSTS).prop_map(Event::Restart),
     ]
 }
 
+/// Hosts that grant and that confirm grantors.
+const HOSTS: usize = 5;
+/// Delays of messages between hosts, in turn.
+const DELAYS: [u64; 5] = [0, 50, 0, 600, 200];
+/// Steps between two rounds of messages between hosts, and between two calls to the store.
+const ROUND_STEPS: u32 = 5;
+
+/// A message between hosts.
+#[derive(Clone, Debug)]
+enum Mail {
+    /// A grantor asks whether a newer one is known; asked at this time.
+    Ask(Instant),
+    Vouch(HostRun, Instant),
+    StandDown,
+    Stopped(HostRun),
+}
+
+#[derive(Clone, Debug)]
+struct Post {
+    arrives: Instant,
+    from: usize,
+    to: usize,
+    /// The grantor that it is from or for.
+    grantor: usize,
+    mail: Mail,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Place {
+    born: u64,
+    /// Newest epoch that it knows.
+    seen: u64,
+    has_no_store: bool,
+}
+
+struct Reign {
+    grantor: Grantor,
+    host: usize,
+    epoch: u64,
+    support: Support,
+    answered: BTreeMap<HostRun, Instant>,
+    is_over: bool,
+    is_saved: bool,
+}
+
 struct World {
     now: Instant,
     servers: Vec<Server>,
     is_cut: Vec<bool>,
+    /// The only host that reaches the server.
+    reached_by: Vec<Option<usize>>,
     is_deaf: Vec<bool>,
     is_down: Vec<bool>,
     is_full: Vec<bool>,
     flying: Vec<Flying>,
-    /// Grantors, with the time until which an old one renews.
-    grantors: Vec<(Grantor, Option<Instant>)>,
+    places: Vec<Place>,
+    post: VecDeque<Post>,
+    /// Hosts reach only those whose bit is the same.
+    sides: u8,
+    steps: u32,
+    reigns: Vec<Reign>,
     stored: KeyTable,
     checker: Checker,
 }
 
 const NAMES: [&str; 3] = ["s0", "s1", "s2"];
 
+fn host_name(at: usize) -> HostName {
+    host(&format!("h{at}"))
+}
+
 impl World {
     fn new() -> Self {
-        let now = Instant::now();
-        let mut stored = table();
+        let mut stored = KeyTable::new("placas".parse().expect("a name"), host_name(0), 0);
         stored.assign(Span::ALL, Some(&holder(NAMES[0])));
-        Self {
-            now,
+        let mut world = Self {
+            now: Instant::now(),
             servers: vec![Server::default(); 3],
             is_cut: vec![false; 3],
+            reached_by: vec![None; 3],
             is_deaf: vec![false; 3],
             is_down: vec![false; 3],
             is_full: vec![false; 3],
             flying: Vec::new(),
-            grantors: vec![(Grantor::take_over(now, stored.clone(), HOLD), None)],
+            places: vec![Place::default(); HOSTS],
+            post: VecDeque::new(),
+            sides: 0,
+            steps: 0,
+            reigns: Vec::new(),
             stored,
             checker: Checker::default(),
+        };
+        world.take_over(0);
+        world
+    }
+
+    fn run(&self, at: usize) -> HostRun {
+        HostRun {
+            host: host_name(at),
+            born: self.places[at].born,
+        }
+    }
+
+    fn take_over(&mut self, host: usize) {
+        if self.places[host].has_no_store {
+            return;
+        }
+        for reign in self.reigns.iter_mut().filter(|reign| reign.host == host) {
+            reign.is_over = true;
         }
+        let epoch = self.reigns.len() as u64 + 1;
+        self.places[host].seen = epoch;
+        self.reigns.push(Reign {
+            grantor: Grantor::take_over(self.now, &host_name(host), epoch, self.stored.clone(), HOLD),
+            host,
+            epoch,
+            support: confirmed(self.now),
+            answered: BTreeMap::new(),
+            is_over: false,
+            is_saved: false,
+        });
     }
 
     fn step(&mut self) -> Result<(), String> {
         self.now += STEP;
         let now = self.now;
-        let newest = self.grantors.len() - 1;
-        for at in 0..self.grantors.len() {
-            if self.grantors[at].1.is_some_and(|ends| ends <= now) {
+        self.deliver();
+        let newest = self.reigns.len() - 1;
+        self.steps += 1;
+        let is_round = self.steps.is_multiple_of(ROUND_STEPS);
+        for at in 0..self.reigns.len() {
+            if self.reigns[at].is_over {
                 continue;
             }
-            let actions = self.grantors[at].0.tick(now, |_| false, |_| true);
+            if is_round {
+                self.keep_support(at, newest);
+            }
+            let reign = &mut self.reigns[at];
+            let actions = reign.grantor.tick(now, &reign.support, |_| false, |_| true);
             for action in actions {
                 match action {
-                    // The store shuts out all epochs but the newest.
-                    Action::Save(table) if at == newest => {
+                    // The store shuts out all epochs but the newest, and may be out of reach.
+                    Action::Save(table) if at == newest && !self.places[self.reigns[at].host].has_no_store => {
                         self.stored = table.clone();
-                        self.grantors[at].0.note_saved(table.last_fence);
+                        self.reigns[at].grantor.note_saved(table.last_fence);
+                        self.reigns[at].is_saved = true;
                     }
                     Action::Save(_) => {}
                     other => self.send(at, other),
@@ -361,12 +490,125 @@
         for flying in due {
             self.arrive(&flying);
         }
+        self.check_reigns()?;
         self.checker.check(now, &self.servers)
     }
 
+    /// Once a grantor relies on its having stopped, no earlier one may give orders.
+    fn check_reigns(&self) -> Result<(), String> {
+        let Some((newest, earlier)) = self.reigns.split_last() else {
+            return Ok(());
+        };
+        let is_sure = newest.grantor.succession().stops().is_none_or(|stops| stops < self.now);
+        let may_order =
+            |reign: &&Reign| !reign.is_over && reign.is_saved && reign.grantor.may_order(self.now, &reign.support);
+        match earlier.iter().find(may_order).filter(|_| is_sure && newest.is_saved) {
+            Some(reign) => Err(format!("epoch {} goes on under {}", reign.epoch, newest.epoch)),
+            None => Ok(()),
+        }
+    }
+
+    /// Does what a grantor does in each round: the store, witnesses, and those before it.
+    fn keep_support(&mut self, at: usize, newest: usize) {
+        let (now, host) = (self.now, self.reigns[at].host);
+        if !self.places[host].has_no_store {
+            if at != newest {
+                self.reigns[at].is_over = true;
+                return;
+            }
+            self.reigns[at].support.confirmed = now;
+        }
+        let others: Vec<usize> = (0..HOSTS).filter(|&other| other != host).collect();
+        for &other in &others {
+            self.mail(host, other, at, Mail::Ask(now));
+        }
+        let reign = &mut self.reigns[at];
+        let is_recent = |asked: &Instant| now < *asked + Duration::from_secs(3);
+        let answering: Vec<HostRun> = reign
+            .answered
+            .iter()
+            .filter(|(_, at)| is_recent(at))
+            .map(|(run, _)| run.clone())
+            .collect();
+        reign.grantor.set_witnesses(&answering);
+        let formers = reign.grantor.succession().remaining(now);
+        let told: BTreeSet<HostName> = formers
+            .into_iter()
+            .flat_map(|f| f.witnesses.into_iter().map(|run| run.host).chain([f.host]))
+            .collect();
+        for other in others {
+            if told.contains(&host_name(other)) {
+                self.mail(host, other, at, Mail::StandDown);
+            }
+        }
+        if told.contains(&host_name(host)) {
+            let run = self.run(host);
+            self.reigns[at].grantor.note_told(now, &run);
+        }
+    }
+
+    fn mail(&mut self, from: usize, to: usize, grantor: usize, mail: Mail) {
+        let side = |host: usize| self.sides & (1 << host) != 0;
+        if side(from) != side(to) {
+            return;
+        }
+        let delay = DELAYS[self.post.len() % DELAYS.len()];
+        let arrives = self.now + Duration::from_millis(delay);
+        self.post.push_back(Post {
+            arrives,
+            from,
+            to,
+            grantor,
+            mail,
+        });
+    }
+
+    fn deliver(&mut self) {
+        let (due, later): (Vec<Post>, Vec<Post>) = std::mem::take(&mut self.post)
+            .into_iter()
+            .partition(|post| post.arrives <= self.now);
+        self.post = later.into();
+        for Post {
+            from,
+            to,
+            grantor,
+            mail,
+            ..
+        } in due
+        {
+            let (run, epoch) = (self.run(to), self.reigns[grantor].epoch);
+            match mail {
+                Mail::Ask(asked) => {
+                    if self.places[to].seen <= epoch {
+                        self.places[to].seen = epoch;
+                        self.mail(to, from, grantor, Mail::Vouch(run, asked));
+                    }
+                }
+                Mail::Vouch(run, asked) => {
+                    let reign = &mut self.reigns[grantor];
+                    reign.answered.insert(run.clone(), self.now);
+                    let newest = reign.support.vouches.entry(run).or_insert(asked);
+                    *newest = asked.max(*newest);
+                }
+                Mail::StandDown => {
+                    self.places[to].seen = self.places[to].seen.max(epoch);
+                    for reign in self
+                        .reigns
+                        .iter_mut()
+                        .filter(|reign| reign.host == to && reign.epoch < epoch)
+                    {
+                        reign.is_over = true;
+                    }
+                    self.mail(to, from, grantor, Mail::Stopped(run));
+                }
+                Mail::Stopped(run) => self.reigns[grantor].grantor.note_told(self.now, &run),
+            }
+        }
+    }
+
     fn send(&mut self, grantor: usize, action: Action) {
         let to = server_of(&action);
-        if (self.is_full[to] || self.is_down[to]) && !self.is_cut[to] {
+        if (self.is_full[to] || self.is_down[to]) && !self.is_cut[to] && self.reached_by[to].is_none() {
             self.answer(
                 grantor,
                 &action,
@@ -376,7 +618,8 @@
             );
             return;
         }
-        if self.is_cut[to] {
+        let is_alone = self.reached_by[to].is_some_and(|host| host != self.reigns[grantor].host);
+        if self.is_cut[to] || is_alone {
             self.answer(
                 grantor,
                 &action,
@@ -425,7 +668,7 @@
     }
 
     fn answer(&mut self, at: usize, action: &Action, sent: Instant, granted: GrantOutcome, released: ReleaseOutcome) {
-        let grantor = &mut self.grantors[at].0;
+        let grantor = &mut self.reigns[at].grantor;
         match action {
             Action::Grant { holder, fence, .. } => {
                 grantor.note_grant(self.now, holder, *fence, sent, granted);
@@ -445,8 +688,8 @@
             Event::Move(first, last, to) => {
                 let owner = holder(NAMES[*to]);
                 let span = span(*first, *last);
-                if let Some((grantor, _)) = self.grantors.last_mut() {
-                    grantor.apply(&[Move { span, owner }]);
+                if let Some(reign) = self.reigns.last_mut() {
+                    reign.grantor.apply(&[Move { span, owner }]);
                 }
             }
             Event::Crash(server) => {
@@ -454,23 +697,35 @@
                 self.servers[*server] = Server::default();
             }
             Event::Cut(server, is_cut) => self.is_cut[*server] = *is_cut,
+            Event::Usurp { by, server, to } => {
+                let host = self.reigns.last().map_or(0, |reign| reign.host);
+                if *by != host {
+                    self.places[host].has_no_store = true;
+                    self.reached_by[*server] = Some(host);
+                    self.take_over(*by);
+                    let spans: Vec<Span> = self
+                        .stored
+                        .parts
+                        .iter()
+                        .filter(|part| part.owner == Some(holder(NAMES[*server])))
+                        .map(|part| part.span)
+                        .collect();
+                    for span in spans {
+                        self.play(&Event::Move(span.first, span.last, *to))?;
+                    }
+                }
+            }
             Event::Full(server, is_full) => self.is_full[*server] = *is_full,
             Event::Deaf(server, is_deaf) => self.is_deaf[*server] = *is_deaf,
-            Event::TakeOver(has_stopped) => {
-                let ends = self.now + if *has_stopped { Duration::ZERO } else { HOLD.takeover };
-                for (_, until) in &mut self.grantors {
-                    until.get_or_insert(ends);
+            Event::TakeOver(host) => self.take_over(*host),
+            Event::CutStore(host, is_cut) => self.places[*host].has_no_store = *is_cut,
+            Event::Split(sides) => self.sides = *sides,
+            Event::Restart(host) => {
+                let place = &mut self.places[*host];
+                (place.born, place.seen) = (place.born + 1, 0);
+                for reign in self.reigns.iter_mut().filter(|reign| reign.host == *host) {
+                    reign.is_over = true;
                 }
-                let mut next = Grantor::take_over(self.now, self.stored.clone(), HOLD);
-                // Only if all earlier ones have stopped may the new one rely on it.
-                if self
-                    .grantors
-                    .iter()
-                    .all(|(_, until)| until.is_some_and(|until| until <= self.now))
-                {
-                    next.note_stopped(self.now);
-                }
-                self.grantors.push((next, None));
             }
         }
         Ok(())
@@ -500,7 +755,6 @@
 #[test]
 fn a_refused_connection_frees_no_keys() {
     let mut world = World::new();
-    world.play(&Event::TakeOver(true)).expect("one owner");
     world.play(&Event::Wait(20)).expect("one owner");
     world.play(&Event::Full(0, true)).expect("one owner");
     world.play(&Event::Move(0, u16::MAX, 1)).expect("one owner");
@@ -540,10 +794,17 @@
             }
         }
         world.is_cut.fill(false);
-        world.is_deaf.fill(false);
+        world.reached_by.fill(None);
         world.is_full.fill(false);
+        world.is_deaf.fill(false);
+        for place in &mut world.places {
+            place.has_no_store = false;
+        }
+        world.sides = 0;
+        // The last grantor's process may have ended.
+        world.take_over(0);
         // The longest wait is for an old grantor's last grant to run out.
-        let steps = (HOLD.takeover + HOLD.time * 3).as_millis() / STEP.as_millis();
+        let steps = (UNCONFIRMED_LIMIT + HOLD.time * 3).as_millis() / STEP.as_millis();
         for _ in 0..steps {
             if let Err(error) = world.step() {
                 prop_assert!(false, "{}", error);
@@ -578,14 +839,14 @@
 #[test]
 fn nothing_is_granted_before_it_is_saved() {
     let now = Instant::now();
-    let mut grantor = Grantor::take_over(now, table(), HOLD);
+    let mut grantor = Grantor::take_over(now, &host("host-a"), 1, table(), HOLD);
     let owner = holder("a");
     grantor.apply(&[Move { span: Span::ALL, owner }]);
-    let actions = grantor.tick(now, |_| false, |_| true);
+    let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
     assert!(matches!(actions.as_slice(), [Action::Save(_)]), "{actions:?}");
     let fence = grantor.table().last_fence;
     grantor.note_saved(fence);
-    let actions = grantor.tick(now, |_| false, |_| true);
+    let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
     assert!(matches!(actions.as_slice(), [Action::Grant { .. }]), "{actions:?}");
 }
 
@@ -593,16 +854,16 @@
 #[test]
 fn a_broken_connection_leads_to_a_new_fence() {
     let now = Instant::now();
-    let mut grantor = Grantor::take_over(now, table(), HOLD);
+    let mut grantor = Grantor::take_over(now, &host("host-a"), 1, table(), HOLD);
     let owner = holder("a");
     grantor.apply(&[Move {
         span: Span::ALL,
         owner: owner.clone(),
     }]);
-    grantor.tick(now, |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| false, |_| true);
     let fence = grantor.table().last_fence;
     grantor.note_saved(fence);
-    grantor.tick(now, |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| false, |_| true);
     grantor.note_grant(now, &owner, fence, now, GrantOutcome::Taken);
     assert!(grantor.table().parts[0].ready);
     grantor.note_grant(now, &owner, fence, now, GrantOutcome::Broken);
@@ -610,10 +871,10 @@
     assert!(grantor.table().parts[0].ready, "requests may still go there");
     // A process that restarted under its name is cold, which the grantor has to learn first.
     let fence = grantor.table().last_fence;
-    grantor.tick(now, |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| false, |_| true);
     grantor.note_saved(fence);
     let later = now + Duration::from_secs(1);
-    let actions = grantor.tick(later, |_| false, |_| true);
+    let actions = grantor.tick(later, &confirmed(later), |_| false, |_| true);
     let asks = |action: &Action| matches!(action, Action::Grant { asks_health: true, .. });
     assert!(actions.iter().any(asks), "{actions:?}");
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -126,23 +126,23 @@
     }
 }
 
-/// Gives a host's rank among the readers, or none if it isn't one of them.
-///
-/// The first readers of all zones come before the second ones.
-pub(crate) fn find_rank<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>, own: &HostName) -> Option<usize> {
+/// Gives the readers by rank: the first ones of all zones come before the second ones.
+pub(crate) fn find_readers<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>) -> Vec<&'a HostName> {
     let mut zones: BTreeMap<&Zone, Vec<(u64, &HostName)>> = BTreeMap::new();
     for (host, zone) in hosts {
-        zones
-            .entry(zone)
-            .or_default()
-            .push((xxh3_64(host.as_str().as_bytes()), host));
+        let hash = xxh3_64(host.as_str().as_bytes());
+        zones.entry(zone).or_default().push((hash, host));
     }
-    let count = zones.len();
-    zones.values_mut().enumerate().find_map(|(at, hosts)| {
+    for hosts in zones.values_mut() {
         hosts.sort_unstable();
-        let place = hosts.iter().position(|(_, host)| *host == own)?;
-        (place < READERS_PER_ZONE).then_some(place * count + at)
-    })
+    }
+    let places = (0..READERS_PER_ZONE).flat_map(|place| zones.values().filter_map(move |hosts| hosts.get(place)));
+    places.map(|(_, host)| *host).collect()
+}
+
+/// Gives a host's rank among the readers, or none if it isn't one of them.
+pub(crate) fn find_rank<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>, own: &HostName) -> Option<usize> {
+    find_readers(hosts).into_iter().position(|host| host == own)
 }
 
 /// When a host reads the store.
