End a wrong suspicion of a restart with the next announcement

Cause: a refused connection makes a host treat an upstream as cold, as its next process may be. Since readers pass on only what is new to them, the next announcement no longer ended the suspicion, so it lasted for the whole cold time and a second.

Ruled out: probes of each suspected upstream (a call from each host); treating a refusal as a full upstream (a restarted one would get the full load).

Change: a host that begins to suspect an upstream tells the readers, which pass on its next announcement even if it changes nothing.

Test: gateway::tests::feed::a_suspicion_ends_with_the_next_announcement fails without it.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,6 +42,8 @@
     pub(crate) cold_until: Instant,
     /// When it was last suspected to have turned cold.
     suspected: Option<Instant>,
+    /// When another host asked for its next announcement, as it suspects a restart.
+    asked: Option<Instant>,
     /// Its entry lapsed during an outage of the store; until when it may come back.
     pub(crate) lapsed_until: Option<Instant>,
     pub(crate) health: Health,
@@ -74,7 +76,8 @@
     Stale,
     /// A new upstream, or a new run of a known one.
     Joined,
-    /// Its phase, address, load limits or cold time changed, or its entry is back after it lapsed.
+    /// Its phase, address, load limits or cold time changed, its entry is back after it lapsed, or
+    /// another host asked for it.
     Updated,
 }
 
@@ -94,8 +97,11 @@
                 // A host that learns of this only now must hear of it, as it may have dropped the upstream.
                 let was_lapsed = upstream.lapsed_until.take().is_some();
                 let is_same_phase = upstream.said.phase == said.phase;
+                let was_asked = upstream.asked.is_some_and(|at| now >= at + ANNOUNCE_LAG);
+                upstream.asked = upstream.asked.filter(|_| !was_asked);
                 let is_same = is_same_phase
                     && !was_lapsed
+                    && !was_asked
                     && upstream.said.address == said.address
                     && upstream.said.slots == said.slots;
                 if !is_same_phase {
@@ -138,6 +144,7 @@
             since: now,
             cold_until,
             suspected: None,
+            asked: None,
             lapsed_until: None,
             health: Health::default(),
             load: Load::new(now, said.slots),
@@ -160,11 +167,21 @@
         }
     }
 
-    /// Notes that an upstream is or may be cold, before it announces so.
-    pub(crate) fn suspect_cold(&mut self, now: Instant, name: &UpstreamName, time: Duration) {
+    /// Notes that an upstream is or may be cold, before it announces so; true if that is new.
+    pub(crate) fn suspect_cold(&mut self, now: Instant, name: &UpstreamName, time: Duration) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return false;
+        };
+        let is_new = !upstream.is_cold(now);
+        upstream.cold_until = upstream.cold_until.max(now + time);
+        upstream.suspected = Some(now);
+        is_new
+    }
+
+    /// Notes that another host needs an upstream's next announcement, also if it changes nothing here.
+    pub(crate) fn ask_announcement(&mut self, now: Instant, name: &UpstreamName) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.cold_until = upstream.cold_until.max(now + time);
-            upstream.suspected = Some(now);
+            upstream.asked = Some(now);
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -89,10 +89,12 @@
                     .pools
                     .get(&job.pool)
                     .map_or(Duration::ZERO, |pool| pool.cold_time);
-                gateway
-                    .fleet
-                    .borrow_mut()
-                    .suspect_cold(Instant::now(), upstream, time + RESTART_TIME);
+                let mut fleet = gateway.fleet.borrow_mut();
+                if fleet.suspect_cold(Instant::now(), upstream, time + RESTART_TIME) {
+                    // A live upstream with too many connections refuses more as well; its next
+                    // announcement tells, but readers pass on only what is new to them.
+                    gateway.outbox.send(Message::Suspect(upstream.clone()));
+                }
             }
             note_unreachable(gateway, upstream, &error.to_string());
             None
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,7 +25,7 @@
 use crate::fleet::Fingerprint;
 use crate::keys::{HostRun, KeyCounts, TableChange};
 use crate::platform::HOST_TOPIC;
-use crate::relay::{Extract, Topic};
+use crate::relay::{Extract, Topic, find_readers};
 use crate::types::{HostName, UpstreamName};
 
 /// Time between two messages to the grantor.
@@ -61,6 +61,8 @@
     Vouch { run: HostRun, epoch: u64, asked_ms: u64 },
     /// Requests that may have crashed upstreams.
     Crashes(Vec<Fingerprint>),
+    /// An upstream may have restarted; its next announcement is needed.
+    Suspect(UpstreamName),
     /// An upstream turned cold and may not have announced it yet.
     Cold { upstream: UpstreamName, millis: u64 },
     /// Owners of keys changed, as saved in the store.
@@ -149,6 +151,9 @@
                 }
             }
             Ok(Message::Cold { upstream, millis }) => note_cold(&gateway, &upstream, Duration::from_millis(millis)),
+            Ok(Message::Suspect(upstream)) => {
+                gateway.fleet.borrow_mut().ask_announcement(Instant::now(), &upstream);
+            }
             Ok(Message::Change(change)) => note_change(&gateway, &change),
             Ok(Message::Read(extracts)) => note_extracts(&gateway, &extracts),
             Ok(Message::Refresh) => gateway.feed.ask(Topic::Hosts),
@@ -194,17 +199,17 @@
     loop {
         gateway.outbox.added.notified().await;
         let messages = std::mem::take(&mut *gateway.outbox.messages.borrow_mut());
-        let hosts: Vec<(HostName, SocketAddr)> = {
-            let hosts = gateway.hosts.borrow();
-            let addresses = hosts.iter().map(|(host, presence)| (host.clone(), presence.peers));
-            addresses.filter(|(host, _)| *host != gateway.settings.host).collect()
-        };
+        let (hosts, readers) = find_others(&gateway);
         for message in messages {
+            let hosts = match &message {
+                Message::Suspect(_) => &readers,
+                _ => &hosts,
+            };
             let mut bytes = encode(&message);
             if bytes.len() > MESSAGE_MAX {
                 bytes = encode(&shorten(message));
             }
-            for (_, address) in &hosts {
+            for address in hosts {
                 // Lost messages are made up for by the next read of the store.
                 let _ = socket.send_to(&bytes, address).await;
             }
@@ -217,6 +222,16 @@
     let _ = socket.send_to(&encode(message), address).await;
 }
 
+/// Gives the addresses of all other hosts, and of those that are readers.
+fn find_others(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let hosts = gateway.hosts.borrow();
+    let readers = find_readers(hosts.iter().map(|(host, presence)| (host, &presence.zone)));
+    let others = |host: &&HostName| **host != gateway.settings.host;
+    let address = |host: &HostName| hosts.get(host).map(|presence| presence.peers);
+    let readers = readers.into_iter().filter(others).filter_map(address).collect();
+    (hosts.keys().filter(others).filter_map(address).collect(), readers)
+}
+
 /// Gives the message that takes the place of one that is too large: the store has the rest.
 fn shorten(message: Message) -> Message {
     match message {
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -162,3 +162,29 @@
     assert!(gateway.feed.take_wanted().is_empty());
     assert_eq!(gateway.feed.next(Topic::Hosts), Some(Offset(1)));
 }
+
+/// An upstream that was wrongly suspected of a restart got only a cold one's share from a host until the
+/// suspicion ran out, as its announcements told the readers nothing new.
+#[tokio::test(start_paused = true)]
+async fn a_suspicion_ends_with_the_next_announcement() {
+    let (reader, listener) = (gateway(), gateway());
+    let announce = |offset| vec![record(offset, &Step::Announce(1, 1, true, 0))];
+    for host in [&reader, &listener] {
+        take_records(host, Topic::Upstreams, Offset(0), Vec::new());
+        take_records(host, Topic::Upstreams, Offset(1), announce(0));
+    }
+    let name = "i-1".parse().expect("a name");
+    assert!(
+        listener
+            .fleet
+            .borrow_mut()
+            .suspect_cold(Instant::now(), &name, LONG_AFTER)
+    );
+    reader.fleet.borrow_mut().ask_announcement(Instant::now(), &name);
+    for offset in 1..4 {
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let extract = take_records(&reader, Topic::Upstreams, Offset(offset + 1), announce(offset));
+        note_extracts(&listener, &[extract]);
+    }
+    assert_eq!(known(&listener), ["i-1 1 Ready cold: false"]);
+}
