Count a hold from the end of the call that granted it

A grant was decided at 34.05 s and got no answer; its keys were given on at 36.92 s, when 2.5 s with clock error and 0.3 s for the way had passed. The host was busy and sent the grant later than it had decided, so the upstream still held the keys and worked on one.

Change: a hold counts from the end of the call, and not at all while the call is in progress. The hold of earlier grantors' grants has the longest call added. A grant that waits for an upstream's health is dropped if its grantor has stopped meanwhile.

Tests: keys::tests::a_hold_counts_from_the_end_of_the_call fails if calls in progress don't count; histories have orders that leave late.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -14,7 +14,7 @@
 
 use super::connect::Endpoint;
 use super::election::elect;
-use super::orders::{ask_cold, grant, release};
+use super::orders::{GRANT_SENDING, ask_cold, grant, release};
 use super::peers::Message;
 use super::state::Gateway;
 use super::watch::{TABLE_PREFIX, note_change};
@@ -92,6 +92,11 @@
         self.seen_epoch.set(self.seen_epoch.get().max(epoch));
     }
 
+    /// Tells whether this host is the grantor with the given epoch.
+    fn leads(&self, epoch: u64) -> bool {
+        self.led.borrow().as_ref().is_some_and(|led| led.epoch == epoch)
+    }
+
     pub(crate) fn is_leading(&self) -> bool {
         self.led.borrow().is_some()
     }
@@ -187,6 +192,7 @@
     let hold = Hold {
         time: GRANT_TIME.min(gateway.bounds.grant),
         renewal: RENEWAL_PERIOD,
+        call: GRANT_SENDING,
     };
     for pool in catalog.pools.values().filter(|pool| pool.is_sharded) {
         if led.pools.contains_key(&pool.name) {
@@ -307,6 +313,9 @@
             spawn_local(async move {
                 if asks_health {
                     ask_cold(&gateway, &pool, &holder).await;
+                    if !gateway.grants.leads(epoch) {
+                        return;
+                    }
                 }
                 let sent = Instant::now();
                 let outcome = grant(&gateway, &holder, &order).await;
@@ -394,13 +403,7 @@
         sequence,
     };
     loop {
-        let is_leading = gateway
-            .grants
-            .led
-            .borrow()
-            .as_ref()
-            .is_some_and(|led| led.epoch == save.epoch);
-        if !is_leading {
+        if !gateway.grants.leads(save.epoch) {
             return false;
         }
         match gateway.store.append(HOST_TOPIC, Some(&tail), &[(&key, &bytes)]).await {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -20,6 +20,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Limit for a grant, which is answered at once; as long as a renewal period.
 const GRANT_LIMIT: Duration = Duration::from_millis(600);
+/// Longest time from the decision to grant to the last moment at which the grant is sent.
+pub(super) const GRANT_SENDING: Duration = CONNECT_LIMIT.saturating_add(GRANT_LIMIT);
 /// Time for hosts to learn that an upstream is cold.
 const COLD_NOTICE: Duration = Duration::from_millis(30);
 /// Limit for a release, which is answered when the running work on the keys has ended.
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -30,6 +30,8 @@
     pub(crate) time: Duration,
     /// Time after which it is given again.
     pub(crate) renewal: Duration,
+    /// Limit of the call that gives it, up to whose end it may be sent.
+    pub(crate) call: Duration,
 }
 
 /// What the process around the grantor has to do.
@@ -115,6 +117,8 @@
     is_changed: bool,
     /// Last time at which a grant to a run may have been sent, by this grantor or an earlier one.
     sent: BTreeMap<Holder, Instant>,
+    /// Grants to a run that may yet be sent: a busy host hands them to the network late.
+    sending: BTreeMap<Holder, u32>,
     progress: BTreeMap<u64, Progress>,
     /// Upstreams that don't answer grants.
     silent: BTreeMap<Holder, Silence>,
@@ -139,7 +143,8 @@
         table.epoch = epoch;
         table.revision = 0;
         table.witnesses = BTreeSet::new();
-        let stops = succession.stops().unwrap_or(now);
+        // Grants that were asked for before may be sent until the end of their calls.
+        let stops = succession.stops().unwrap_or(now) + hold.call;
         let holders = table
             .parts
             .iter()
@@ -156,6 +161,7 @@
             is_saving: false,
             is_changed: true,
             sent,
+            sending: BTreeMap::new(),
             progress: BTreeMap::new(),
             silent: BTreeMap::new(),
         }
@@ -170,7 +176,7 @@
     pub(crate) fn note_told(&mut self, now: Instant, run: &HostRun) {
         self.succession.note_told(now, run);
         // This grantor's own grants were all sent by now.
-        let stops = self.succession.stops().map_or(now, |stops| stops.max(now));
+        let stops = self.succession.stops().map_or(now, |stops| stops.max(now)) + self.hold.call;
         for sent in self.sent.values_mut() {
             *sent = (*sent).min(stops);
         }
@@ -259,7 +265,8 @@
             let runs_out = last_sent.map(|sent| sent + self.hold.time + self.hold.time / CLOCK_MARGIN + TRAVEL_TIME);
             let is_same = part.owner.as_ref() == Some(holder);
             // A refused connection shows nothing: a live upstream with too many refuses more.
-            let is_over = is_same || is_ended(holder) || runs_out.is_none_or(|end| end <= now);
+            let has_run_out = runs_out.is_none_or(|end| end <= now) && !self.sending.contains_key(holder);
+            let is_over = is_same || is_ended(holder) || has_run_out;
             if is_over || progress.released.contains(holder) {
                 continue;
             }
@@ -284,8 +291,7 @@
         let is_due = renews.is_none_or(|at| at <= now) && progress.next_try.is_none_or(|at| at <= now);
         if is_due && !progress.is_granting {
             progress.is_granting = true;
-            self.sent
-                .insert(owner.clone(), now.max(self.sent.get(owner).copied().unwrap_or(now)));
+            *self.sending.entry(owner.clone()).or_default() += 1;
             actions.push(Action::Grant {
                 holder: owner.clone(),
                 span,
@@ -335,6 +341,15 @@
         sent: Instant,
         outcome: GrantOutcome,
     ) {
+        // It was sent at some time up to now.
+        let last = self.sent.entry(holder.clone()).or_insert(now);
+        *last = now.max(*last);
+        if let Some(count) = self.sending.get_mut(holder) {
+            *count -= 1;
+            if *count == 0 {
+                self.sending.remove(holder);
+            }
+        }
         match outcome {
             GrantOutcome::Taken | GrantOutcome::Fenced => {
                 self.silent.remove(holder);
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -16,6 +16,7 @@
 const HOLD: Hold = Hold {
     time: Duration::from_millis(3_200),
     renewal: Duration::from_millis(800),
+    call: Duration::from_millis(600),
 };
 const STEP: Duration = Duration::from_millis(50);
 
@@ -300,6 +301,8 @@
     },
     /// A server's process ends for good.
     Crash(usize),
+    /// Orders leave so many steps after they were given, as a busy host is slow to send them.
+    Lag(u32),
     /// A live server refuses connections from now on, as it has too many, or takes them again.
     Full(usize, bool),
     /// Answers of a server get lost from now on, or arrive again.
@@ -322,6 +325,7 @@
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, cut)| Event::Cut(server, cut)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, deaf)| Event::Deaf(server, deaf)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, full)| Event::Full(server, full)),
+        1 => (0..LAG_MAX).prop_map(Event::Lag),
         2 => (0..HOSTS).prop_map(Event::TakeOver),
         1 => (0..HOSTS, 0_usize..3, 0_usize..3).prop_map(|(by, server, to)| Event::Usurp { by, server, to }),
         2 => (0..HOSTS, any::<bool>()).prop_map(|(host, cut)| Event::CutStore(host, cut)),
@@ -331,6 +335,8 @@
     ]
 }
 
+/// Steps for which a host may take to send an order; the limit of a call is 0.6 s.
+const LAG_MAX: u32 = 12;
 /// Hosts that grant and that confirm grantors.
 const HOSTS: usize = 5;
 /// Delays of messages between hosts, in turn.
@@ -388,6 +394,7 @@
     flying: Vec<Flying>,
     places: Vec<Place>,
     post: VecDeque<Post>,
+    lag: u32,
     /// Hosts reach only those whose bit is the same.
     sides: u8,
     steps: u32,
@@ -417,6 +424,7 @@
             flying: Vec::new(),
             places: vec![Place::default(); HOSTS],
             post: VecDeque::new(),
+            lag: 0,
             sides: 0,
             steps: 0,
             reigns: Vec::new(),
@@ -631,7 +639,7 @@
         }
         let is_answered = !self.is_deaf[to];
         self.flying.push(Flying {
-            arrives: self.now,
+            arrives: self.now + STEP * self.lag,
             action,
             grantor,
             sent: self.now,
@@ -720,6 +728,7 @@
             Event::TakeOver(host) => self.take_over(*host),
             Event::CutStore(host, is_cut) => self.places[*host].has_no_store = *is_cut,
             Event::Split(sides) => self.sides = *sides,
+            Event::Lag(steps) => self.lag = *steps,
             Event::Restart(host) => {
                 let place = &mut self.places[*host];
                 (place.born, place.seen) = (place.born + 1, 0);
@@ -801,6 +810,7 @@
             place.has_no_store = false;
         }
         world.sides = 0;
+        world.lag = 0;
         // The last grantor's process may have ended.
         world.take_over(0);
         // The longest wait is for an old grantor's last grant to run out.
@@ -878,3 +888,44 @@
     let asks = |action: &Action| matches!(action, Action::Grant { asks_health: true, .. });
     assert!(actions.iter().any(asks), "{actions:?}");
 }
+
+/// A busy host sent a grant half a second after the grantor had asked for it, so the hold ended later than the
+/// grantor thought and two upstreams had the keys (trouble-1 of cairnbook-gw-grown). The hold counts from the
+/// last moment at which the grant may have been sent.
+#[test]
+fn a_hold_counts_from_the_end_of_the_call() {
+    let start = Instant::now();
+    let mut grantor = Grantor::take_over(start, &host("host-a"), 1, table(), HOLD);
+    let tick = |grantor: &mut Grantor, now| {
+        let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
+        let fence = grantor.table().last_fence;
+        grantor.note_saved(fence);
+        (actions, fence)
+    };
+    let (old, new) = (holder("a"), holder("b"));
+    grantor.apply(&[Move {
+        span: Span::ALL,
+        owner: old.clone(),
+    }]);
+    let (_, fence) = tick(&mut grantor, start);
+    tick(&mut grantor, start);
+    // The call ends without an answer; its bytes may have left just before.
+    let ended = start + Duration::from_millis(600);
+    grantor.apply(&[Move {
+        span: Span::ALL,
+        owner: new.clone(),
+    }]);
+    tick(&mut grantor, start + STEP);
+    let is_granted = |actions: &[Action]| {
+        actions
+            .iter()
+            .any(|action| matches!(action, Action::Grant { holder, .. } if *holder == new))
+    };
+    let in_flight = tick(&mut grantor, start + HOLD.time * 2).0;
+    assert!(!is_granted(&in_flight), "the grant may not have been sent yet");
+    grantor.note_grant(ended, &old, fence, start, GrantOutcome::Unknown);
+    let before = tick(&mut grantor, ended + HOLD.time).0;
+    assert!(!is_granted(&before), "the first owner may hold the keys");
+    let after = tick(&mut grantor, ended + HOLD.time + Duration::from_millis(500)).0;
+    assert!(is_granted(&after), "{after:?}");
+}
