Let the strongest hosts read the store and grant keys

Cause: machines of the grown sites have 0.1 to 0.5 of a core, and readers were chosen by a hash of their names.

Ruled out: fewer renewals (a lost one must not end a hold).

Change: the setting cores, from the machine's limit; hosts announce it, and the two with most in each zone are its readers and stand for election.

Test: relay::tests::strong_hosts_are_readers.

Machines of the small sites are alike.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -13,8 +13,8 @@
 use super::state::Gateway;
 use super::watch::{apply_record, knows_owners, reset_topic};
 use crate::platform::{HOST_TOPIC, OPERATOR_TOPIC, Record, StoreError, UPSTREAM_TOPIC};
-use crate::relay::{Extract, Fit, News, Schedule, Topic, find_rank};
-use crate::types::Offset;
+use crate::relay::{Extract, Fit, News, Place, Schedule, Topic, find_readers};
+use crate::types::{HostName, Offset};
 
 /// Most bytes of records that are passed on for one topic; packed they fit into a datagram.
 const NEWS_MAX: usize = 24 << 10;
@@ -67,11 +67,20 @@
     }
 }
 
-/// Gives this host's rank among those that read for all.
-pub(crate) fn rank(gateway: &Gateway) -> Option<usize> {
+/// Gives the hosts that read for all, by rank.
+pub(super) fn readers(gateway: &Gateway) -> Vec<HostName> {
     let hosts = gateway.hosts.borrow();
-    let zones = hosts.iter().map(|(host, presence)| (host, &presence.zone));
-    find_rank(zones, &gateway.settings.host)
+    let places = hosts.iter().map(|(host, presence)| Place {
+        host,
+        zone: &presence.zone,
+        millicores: presence.millicores,
+    });
+    find_readers(places).into_iter().cloned().collect()
+}
+
+/// Gives this host's rank among those that read for all.
+pub(super) fn rank(gateway: &Gateway) -> Option<usize> {
+    readers(gateway).iter().position(|host| *host == gateway.settings.host)
 }
 
 /// Reads the topics when it is this host's turn, for the life of the process.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::feed::note_extracts;
+use super::feed::{note_extracts, readers};
 use super::grants::note_counts;
 use super::orders::note_cold;
 use super::state::{Gateway, Presence};
@@ -25,7 +25,7 @@
 use crate::fleet::Fingerprint;
 use crate::keys::{HostRun, KeyCounts, TableChange};
 use crate::platform::HOST_TOPIC;
-use crate::relay::{Extract, Topic, find_readers};
+use crate::relay::{Extract, Topic};
 use crate::types::{HostName, UpstreamName};
 
 /// Time between two messages to the grantor.
@@ -111,6 +111,7 @@
     let presence = Presence {
         peers,
         zone: gateway.settings.zone.clone(),
+        millicores: gateway.settings.millicores(),
     };
     let text = serde_json::to_vec(&presence).expect("addresses and names have a JSON form");
     let key = format!("{HOST_PREFIX}{}", gateway.settings.host);
@@ -225,10 +226,9 @@
 /// Gives the addresses of all other hosts, and of those that are readers.
 fn find_others(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let hosts = gateway.hosts.borrow();
-    let readers = find_readers(hosts.iter().map(|(host, presence)| (host, &presence.zone)));
     let others = |host: &&HostName| **host != gateway.settings.host;
     let address = |host: &HostName| hosts.get(host).map(|presence| presence.peers);
-    let readers = readers.into_iter().filter(others).filter_map(address).collect();
+    let readers = readers(gateway).iter().filter(others).filter_map(address).collect();
     (hosts.keys().filter(others).filter_map(address).collect(), readers)
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Presence {
     pub(crate) peers: SocketAddr,
     pub(crate) zone: Zone,
+    #[serde(default)]
+    pub(crate) millicores: u32,
 }
 
 /// What this host has seen of a route.
--- a/src/gateway/support.rs
+++ b/src/gateway/support.rs
@@ -9,11 +9,11 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
+use super::feed::readers;
 use super::grants::Led;
 use super::peers::{Message, send};
 use super::state::Gateway;
 use crate::keys::HostRun;
-use crate::relay::find_readers;
 use crate::types::HostName;
 
 /// Time between two rounds of messages for a grantor; several fit into the age that a confirmation
@@ -96,8 +96,8 @@
     let witnesses = led.pools.values().flat_map(|pool| &pool.grantor.table().witnesses);
     let mut asked: BTreeSet<HostName> = witnesses.map(|run| run.host.clone()).collect();
     let hosts = gateway.hosts.borrow();
-    let readers = find_readers(hosts.iter().map(|(host, presence)| (host, &presence.zone)));
-    let others = readers.into_iter().chain(hosts.keys()).filter(|host| *host != own);
+    let readers = readers(gateway);
+    let others = readers.iter().chain(hosts.keys()).filter(|host| *host != own);
     for host in others {
         if asked.len() >= ASKED_MAX {
             break;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! its wait anew. A host that hears nothing reads for itself, so a lost, cut off or refused reader
 //! costs the others one wait and no agreement is needed.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -126,23 +127,28 @@
     }
 }
 
-/// Gives the readers by rank: the first ones of all zones come before the second ones.
-pub(crate) fn find_readers<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>) -> Vec<&'a HostName> {
-    let mut zones: BTreeMap<&Zone, Vec<(u64, &HostName)>> = BTreeMap::new();
-    for (host, zone) in hosts {
-        let hash = xxh3_64(host.as_str().as_bytes());
-        zones.entry(zone).or_default().push((hash, host));
-    }
-    for hosts in zones.values_mut() {
-        hosts.sort_unstable();
-    }
-    let places = (0..READERS_PER_ZONE).flat_map(|place| zones.values().filter_map(move |hosts| hosts.get(place)));
-    places.map(|(_, host)| *host).collect()
+/// A host as the choice of readers sees it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place<'a> {
+    pub(crate) host: &'a HostName,
+    pub(crate) zone: &'a Zone,
+    /// Thousandths of a core that the host may use.
+    pub(crate) millicores: u32,
 }
 
-/// Gives a host's rank among the readers, or none if it isn't one of them.
-pub(crate) fn find_rank<'a>(hosts: impl Iterator<Item = (&'a HostName, &'a Zone)>, own: &HostName) -> Option<usize> {
-    find_readers(hosts).into_iter().position(|host| host == own)
+/// Gives the readers by rank: the first ones of all zones come before the second ones. They are the
+/// hosts with most processor time, as they and the grantor, which is one of them, have most to do.
+pub(crate) fn find_readers<'a>(places: impl Iterator<Item = Place<'a>>) -> Vec<&'a HostName> {
+    let mut zones: BTreeMap<&Zone, Vec<Place<'_>>> = BTreeMap::new();
+    for place in places {
+        zones.entry(place.zone).or_default().push(place);
+    }
+    for places in zones.values_mut() {
+        places.sort_by_cached_key(|place| (Reverse(place.millicores), xxh3_64(place.host.as_str().as_bytes())));
+    }
+    let turns = 0..READERS_PER_ZONE;
+    let readers = turns.flat_map(|turn| zones.values().filter_map(move |places| places.get(turn)));
+    readers.map(|place| place.host).collect()
 }
 
 /// When a host reads the store.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-use super::{Extract, Fit, Schedule, Topic, find_rank};
+use super::{Extract, Fit, Place, Schedule, Topic, find_readers};
 use crate::types::{HostName, Offset, Zone};
 
 /// Step of the simulated time.
@@ -19,6 +19,14 @@
     schedule: Schedule,
 }
 
+fn places(names: &[(HostName, Zone)]) -> impl Iterator<Item = Place<'_>> {
+    names.iter().map(|(host, zone)| Place {
+        host,
+        zone,
+        millicores: 200,
+    })
+}
+
 fn hosts(count: u16, zones: u16) -> Vec<Host> {
     let names: Vec<(HostName, Zone)> = (0..count)
         .map(|i| {
@@ -30,7 +38,9 @@
     let make = |(at, (name, zone)): (usize, &(HostName, Zone))| Host {
         name: name.clone(),
         zone: zone.clone(),
-        rank: find_rank(names.iter().map(|(name, zone)| (name, zone)), name),
+        rank: find_readers(places(&names))
+            .into_iter()
+            .position(|reader| reader == name),
         schedule: Schedule::new(now, f64::from(u16::try_from(at).unwrap_or(0) % 10) / 10.0),
     };
     names.iter().enumerate().map(make).collect()
@@ -90,6 +100,20 @@
     }
 }
 
+/// A grantor on the weakest of 90 hosts renewed grants late; the strongest hosts have to do this work.
+#[test]
+fn strong_hosts_are_readers() {
+    let names: Vec<HostName> = (0..8).map(|i| format!("front-{i}").parse().expect("a name")).collect();
+    let zone: Zone = "z".parse().expect("a name");
+    let places = names.iter().zip([100, 500, 100, 100, 400, 300, 100, 100]);
+    let readers = find_readers(places.map(|(host, millicores)| Place {
+        host,
+        zone: &zone,
+        millicores,
+    }));
+    assert_eq!(readers, [&names[1], &names[4]]);
+}
+
 /// The reads of 300 hosts stay those of one, so that the store's rate doesn't limit the hosts.
 #[test]
 fn reads_do_not_grow_with_hosts() {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -16,6 +16,9 @@
         /// Availability zone of this host.
         pub(crate) zone: Zone,
         pub(crate) listen: Listen,
+        /// Share of a core that the process may use; hosts with more take on more of the work for all.
+        #[serde(default)]
+        pub(crate) cores: Option<f64>,
         /// Address of the platform's store.
         pub(crate) store: SocketAddr,
         /// Bounds of the deployment, each as `name=value`.
@@ -34,7 +37,22 @@
     }
 }
 
+/// Share of a core that counts where the settings don't say.
+const CORES_DEFAULT: f64 = 1.0;
+/// Most cores that a setting may name; more is a mistake.
+const CORES_MAX: f64 = 1024.0;
+
 impl Settings {
+    /// Gives the processor time of this host in thousandths of a core.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked when settings are read"
+    )]
+    pub(crate) fn millicores(&self) -> u32 {
+        (self.cores.unwrap_or(CORES_DEFAULT) * 1e3) as u32
+    }
+
     /// Decodes the bounds.
     ///
     /// # Panics
@@ -53,6 +71,9 @@
 pub(crate) fn parse_settings(text: &str) -> Result<Settings, String> {
     let options = serde_saphyr::options! { with_snippet: false };
     let settings: Settings = serde_saphyr::from_str_with_options(text, options).map_err(|e| e.to_string())?;
+    if let Some(cores) = settings.cores.filter(|cores| !(*cores > 0.0 && *cores <= CORES_MAX)) {
+        return Err(format!("cores: {cores} is not above 0 and at most {CORES_MAX}"));
+    }
     decode_bounds(settings.bounds.iter().map(String::as_str))?;
     Ok(settings)
 }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -14,6 +14,9 @@
     let settings = parse_settings(SETTINGS).expect("settings");
     assert_eq!(settings.host.to_string(), "front-a");
     assert_eq!(settings.bounds().drain.as_millis(), 2_000);
+    assert_eq!(settings.millicores(), 1_000);
+    let weak = parse_settings(&SETTINGS.replace("store:", "cores: 0.15\nstore:"));
+    assert_eq!(weak.expect("settings").millicores(), 150);
 }
 
 /// Each mistake has to be named, as the process can't start with it.
@@ -24,6 +27,8 @@
         ("zone-a", "'zone a'", "not allowed in a name"),
         ("store: 127.0.0.1:5", "store: nowhere", "socket address"),
         ("store:", "stor:", "stor"),
+        ("store:", "cores: 0\nstore:", "cores"),
+        ("store:", "cores: .nan\nstore:", "cores"),
         ("drain=2000ms", "drain=2000", "drain"),
     ] {
         let error = parse_settings(&SETTINGS.replace(from, to)).expect_err(named);
