Test broken answers, callers that leave, and a kill of all hosts on processes

Change: the stand-in server can break an answer within its body, sized or in chunks, and notes runs whose connection ended and after how long.

Each was tried against its mechanism taken away: an error in the body taken as its end fails a_broken_answer_does_not_look_complete (in chunks), a request that outlives its caller's connection fails a_caller_that_leaves_ends_the_run (2,000 ms).

--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::{BufMut, Bytes, BytesMut};
-use http::header::{HeaderName, HeaderValue};
+use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper_util::rt::TokioIo;
@@ -58,6 +58,10 @@
     Shed,
     /// Answers carry the id of another request.
     Crossed,
+    /// The connection ends within the body of an answer, whose length is given or not.
+    BreakSized,
+    /// The same for an answer in chunks.
+    BreakChunked,
     /// It announces that it leaves.
     Drain,
 }
@@ -69,6 +73,26 @@
     pub requests: BTreeMap<String, u64>,
     /// Times that each key's grant was taken, with the fence.
     pub grants: Vec<(u16, u16, u64)>,
+    /// Requests whose connection ended while they ran, with the time for which they did, in ms.
+    pub cut: BTreeMap<String, u64>,
+}
+
+/// Notes a run as cut if it is dropped before its end.
+struct Running<'a> {
+    server: &'a Server,
+    id: &'a str,
+    start: Instant,
+    is_done: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.server.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.is_done {
+            let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+            self.server.lock().runs.cut.insert(self.id.to_owned(), ms);
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -233,10 +257,17 @@
         };
         *self.lock().runs.requests.entry(id.clone()).or_default() += 1;
         self.running.fetch_add(1, Ordering::Relaxed);
+        let mut running = Running {
+            server: self,
+            id: &id,
+            start: Instant::now(),
+            is_done: false,
+        };
         if !self.setup.work.is_zero() {
             sleep(self.setup.work).await;
         }
-        self.running.fetch_sub(1, Ordering::Relaxed);
+        running.is_done = true;
+        drop(running);
         if fault == ServerFault::LoseAnswers {
             return Reply::Cut;
         }
@@ -246,8 +277,16 @@
             StatusCode::OK
         };
         let id = if fault == ServerFault::Crossed { "another" } else { &id };
-        let text = json!({ "server": self.setup.name, "path": request.uri().path(), "request": id });
-        self.answer(status, id, true, text.to_string().into())
+        let text = json!({ "server": self.setup.name, "path": request.uri().path(), "request": id }).to_string();
+        let length = text.len() * 2;
+        match (self.answer(status, id, true, text.into()), fault) {
+            (Reply::Answer(mut answer), ServerFault::BreakSized) => {
+                answer.headers_mut().insert(CONTENT_LENGTH, length.into());
+                Reply::Broken(answer)
+            }
+            (Reply::Answer(answer), ServerFault::BreakChunked) => Reply::Broken(answer),
+            (answer, _) => answer,
+        }
     }
 
     fn answer(&self, status: StatusCode, id: &str, has_run: bool, body: Bytes) -> Reply {
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -110,6 +110,45 @@
         exchange(self.gateways[gateway].address, &text)
     }
 
+    /// Starts a server that works for longer than callers wait.
+    fn start_slow_server(&mut self) -> SocketAddr {
+        let store = self.store.address.to_string();
+        let arguments = [
+            "--name",
+            "slow",
+            "--service",
+            "renovaciones",
+            "--store",
+            &store,
+            "--work-ms",
+            "3000",
+        ];
+        let server = start_program("server", &arguments);
+        let address = server.address;
+        self.servers.push(("slow".to_owned(), server));
+        address
+    }
+
+    /// Sends requests and leaves after 0.2 s until one was running at the slow server; gives its id.
+    fn leave_during_a_run(&self, slow: SocketAddr) -> String {
+        let mut number = 0;
+        wait_for("the slow server to be the only one", || {
+            number += 1;
+            let id = format!("l-{number}");
+            let text = format!(
+                "POST /renovaciones/7 HTTP/1.1\r\nHost: {HOST}\r\nX-Ragworthub-Request-Id: {id}\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            let mut stream = TcpStream::connect(self.gateways[0].address).expect("a connection");
+            stream.write_all(text.as_bytes()).expect("a request");
+            // Leaves while the request runs: the slow server works for 3 s.
+            std::thread::sleep(Duration::from_millis(200));
+            drop(stream);
+            let report: Value = serde_json::from_str(&get(slow, "/standin/runs", "1").body).expect("JSON");
+            report["requests"].get(&id).is_some().then_some(id)
+        })
+    }
+
     /// Gives the counts of a route over all months.
     fn counts(&self, route: &str) -> Value {
         let output = std::process::Command::new(support::binary("ragworthub"))
@@ -227,6 +266,77 @@
     assert!(!answer.body.contains("another"));
 }
 
+/// An answer whose connection broke within the body must not look complete to the caller.
+#[test]
+fn a_broken_answer_does_not_look_complete() {
+    let site = Site::start(1);
+    for fault in ["break-sized", "break-chunked"] {
+        for (_, server) in &site.servers {
+            set_fault(server.address, &json!(fault));
+        }
+        let answer = site.call(0, "POST", "/renovaciones/7", &format!("r-{fault}"), None);
+        let length = answer
+            .headers
+            .get("content-length")
+            .and_then(|value| value.parse().ok());
+        let is_chunked = answer
+            .headers
+            .get("transfer-encoding")
+            .is_some_and(|value| value == "chunked");
+        let is_whole = length.map_or(!is_chunked || answer.body.ends_with("0\r\n\r\n"), |length: usize| {
+            answer.body.len() >= length
+        });
+        assert!(
+            answer.status == 502 || !is_whole,
+            "{fault}: {} {:?}",
+            answer.status,
+            answer.body
+        );
+        assert_eq!(site.runs(&format!("r-{fault}")), 1);
+    }
+}
+
+/// A server must not work on for a caller that left: the connection to it ends with the caller's.
+#[test]
+fn a_caller_that_leaves_ends_the_run() {
+    let mut site = Site::start(1);
+    for (_, server) in &site.servers {
+        set_fault(server.address, &json!("drain"));
+    }
+    let slow = site.start_slow_server();
+    let id = site.leave_during_a_run(slow);
+    let ms = wait_for("the run to be cut", || {
+        let report: Value = serde_json::from_str(&get(slow, "/standin/runs", "1").body).expect("JSON");
+        report["cut"][&id].as_u64()
+    });
+    // The caller leaves after 0.2 s; the users allow half a second, and the test's own way takes some.
+    assert!(ms < 1_000, "it ran for {ms} ms");
+}
+
+/// When all hosts are killed at once, the next processes must serve the keys again from what the store has.
+#[test]
+fn all_hosts_recover_after_a_kill() {
+    let mut site = Site::start(2);
+    for gateway in &mut site.gateways {
+        gateway.kill();
+    }
+    site.gateways.clear();
+    site.ready.clear();
+    let start = std::time::Instant::now();
+    for number in 0..2 {
+        site.start_gateway(number);
+    }
+    wait_for("the keys to be served again", || {
+        let served = |part: u16| {
+            let id = format!("again-{part}");
+            site.call(1, "GET", "/placas/1", &id, Some(part * 4_096)).status == 200
+        };
+        (0..16).all(served).then_some(())
+    });
+    // The users' bound on recovery.
+    assert!(start.elapsed() < Duration::from_secs(15), "{:?}", start.elapsed());
+}
+
 /// Two lengths could be read differently by the next parser, so that a second request hides in the body.
 #[test]
 fn a_request_with_two_lengths_is_refused() {
@@ -293,38 +403,11 @@
 fn a_request_whose_caller_left_is_counted() {
     let mut site = Site::start(1);
     let before = site.counts("renovaciones");
-    let store = site.store.address.to_string();
-    let slow = [
-        "--name",
-        "slow",
-        "--service",
-        "renovaciones",
-        "--store",
-        &store,
-        "--work-ms",
-        "3000",
-    ];
     for (_, server) in &site.servers {
         set_fault(server.address, &json!("drain"));
     }
-    site.servers.push(("slow".to_owned(), start_program("server", &slow)));
-    let slow = site.servers.last().map(|(_, server)| server.address).expect("a server");
-    let mut number = 0;
-    wait_for("the slow server to be the only one", || {
-        number += 1;
-        let id = format!("l-{number}");
-        let text = format!(
-            "POST /renovaciones/7 HTTP/1.1\r\nHost: {HOST}\r\nX-Ragworthub-Request-Id: {id}\r\n\
-             Content-Length: 0\r\n\r\n"
-        );
-        let mut stream = TcpStream::connect(site.gateways[0].address).expect("a connection");
-        stream.write_all(text.as_bytes()).expect("a request");
-        // Leaves while the request runs: the slow server works for 3 s.
-        std::thread::sleep(Duration::from_millis(200));
-        drop(stream);
-        let report: Value = serde_json::from_str(&get(slow, "/standin/runs", "1").body).expect("JSON");
-        report["requests"].get(&id).is_some().then_some(())
-    });
+    let slow = site.start_slow_server();
+    site.leave_during_a_run(slow);
     site.gateways[0].signal("TERM");
     assert_eq!(site.gateways[0].wait_code(), Some(0));
     let after = site.counts("renovaciones");
