Don't extend a hold by tries that found no connection

Ruled out: counting from the first call's start (a busy host sends late).

Change: a grant that was certainly not sent is an outcome of its own. It leads to a new fence like a broken connection, but doesn't extend the hold.

Test: keys::tests::a_hold_counts_from_the_end_of_the_call ends with such a try, and fails without the change.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -75,7 +75,7 @@
 
 pub(super) async fn grant(gateway: &Gateway, holder: &Holder, order: &Order) -> GrantOutcome {
     let Some(endpoint) = find_endpoint(gateway, holder) else {
-        return GrantOutcome::Broken;
+        return GrantOutcome::NotSent;
     };
     match endpoint.call(encode_order(order, &holder.upstream), GRANT_LIMIT).await {
         Ok(answer) => match answer.status() {
@@ -84,7 +84,8 @@
             StatusCode::MISDIRECTED_REQUEST => GrantOutcome::Broken,
             _ => GrantOutcome::Unknown,
         },
-        Err(CallError::NotSent(_) | CallError::Broken(_) | CallError::Refused) => GrantOutcome::Broken,
+        Err(CallError::NotSent(_) | CallError::Refused) => GrantOutcome::NotSent,
+        Err(CallError::Broken(_)) => GrantOutcome::Broken,
         Err(CallError::Silent(_)) => GrantOutcome::Unknown,
     }
 }
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -83,7 +83,9 @@
     Fenced,
     /// No answer came; the connection didn't break.
     Unknown,
-    /// The connection broke or couldn't be opened: the upstream may have started anew.
+    /// No connection could be opened: nothing was sent, and the upstream may have ended.
+    NotSent,
+    /// The connection broke: the upstream may have started anew.
     Broken,
 }
 
@@ -341,9 +343,11 @@
         sent: Instant,
         outcome: GrantOutcome,
     ) {
-        // It was sent at some time up to now.
-        let last = self.sent.entry(holder.clone()).or_insert(now);
-        *last = now.max(*last);
+        if outcome != GrantOutcome::NotSent {
+            // It was sent at some time up to now.
+            let last = self.sent.entry(holder.clone()).or_insert(now);
+            *last = now.max(*last);
+        }
         if let Some(count) = self.sending.get_mut(holder) {
             *count -= 1;
             if *count == 0 {
@@ -354,7 +358,7 @@
             GrantOutcome::Taken | GrantOutcome::Fenced => {
                 self.silent.remove(holder);
             }
-            GrantOutcome::Unknown | GrantOutcome::Broken => {
+            GrantOutcome::Unknown | GrantOutcome::Broken | GrantOutcome::NotSent => {
                 let silence = Silence {
                     since: now,
                     next: now + PROBE_PERIOD,
@@ -380,7 +384,7 @@
             }
             GrantOutcome::Unknown => progress.next_try = Some(now + RETRY_DELAY),
             // The next life of an upstream must not take keys under a fence of the last one.
-            GrantOutcome::Broken | GrantOutcome::Fenced => {
+            GrantOutcome::Broken | GrantOutcome::NotSent | GrantOutcome::Fenced => {
                 let mut moved = progress.clone();
                 moved.next_try = Some(now + RETRY_DELAY);
                 moved.granted = None;
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -621,7 +621,7 @@
                 grantor,
                 &action,
                 self.now,
-                GrantOutcome::Broken,
+                GrantOutcome::NotSent,
                 ReleaseOutcome::Refused,
             );
             return;
@@ -632,7 +632,7 @@
                 grantor,
                 &action,
                 self.now,
-                GrantOutcome::Broken,
+                GrantOutcome::NotSent,
                 ReleaseOutcome::Unknown,
             );
             return;
@@ -926,6 +926,8 @@
     grantor.note_grant(ended, &old, fence, start, GrantOutcome::Unknown);
     let before = tick(&mut grantor, ended + HOLD.time).0;
     assert!(!is_granted(&before), "the first owner may hold the keys");
+    // A dark upstream's keys must not wait longer for tries that found no connection.
+    grantor.note_grant(ended + HOLD.time, &old, fence, ended, GrantOutcome::NotSent);
     let after = tick(&mut grantor, ended + HOLD.time + Duration::from_millis(500)).0;
     assert!(is_granted(&after), "{after:?}");
 }
