Soak the real programs, and release keys at the run after an ended one

When the run was announced, the keys of the old one counted as free at once.

Ruled out: the grantor's takeover (the same one was in office for 5 s); a busy host (the renewal took 1 ms).

Change: a later run frees no keys. Orders for a run that has ended go to the later one of its name, which is told to release the keys like any owner.

The soak (standins/src/soak, command soak) starts store, servers and gateways as processes, harms connections by a proxy on loopback, processes by signals and the stand-ins by their faults, in overlapping series, and judges requests, keys, planned stops and recovery by what callers and servers saw.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -177,11 +177,9 @@
         if now >= since + GATHER_TIME || pool.grantor.table().parts.iter().any(|part| part.owner.is_some()) {
             plan(gateway, now, catalog, name, pool);
         }
-        let fleet = gateway.fleet.borrow();
         let addresses = gateway.grants.addresses.borrow();
-        let is_ended = |holder: &Holder| fleet.get(&holder.upstream).is_some_and(|u| u.said.born > holder.born);
         let is_known = |holder: &Holder| addresses.contains_key(holder);
-        let actions = pool.grantor.tick(now, &led.support, is_ended, is_known);
+        let actions = pool.grantor.tick(now, &led.support, is_known);
         for action in actions {
             start_action(gateway, epoch, name, action, saves);
         }
@@ -211,7 +209,7 @@
 }
 
 /// Remembers where runs of upstreams are, so that those whose entries are gone can still be told
-/// to release keys.
+/// to release keys. Orders for a run that has ended go to the later one of its name.
 fn note_addresses(gateway: &Gateway, led: &Led) {
     let fleet = gateway.fleet.borrow();
     let mut addresses = gateway.grants.addresses.borrow_mut();
@@ -225,6 +223,12 @@
             addresses.insert(Holder::of(&upstream.said), upstream.said.address);
         }
     }
+    let parts = led.pools.values().flat_map(|pool| &pool.grantor.table().parts);
+    for holder in parts.flat_map(|part| part.owner.iter().chain(&part.previous)) {
+        if let Some(later) = fleet.get(&holder.upstream).filter(|u| u.said.born > holder.born) {
+            addresses.insert(holder.clone(), later.said.address);
+        }
+    }
     gateway.grants.endpoints.borrow_mut().retain(|holder, endpoint| {
         addresses
             .get(holder)
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -3,7 +3,8 @@
 //! Two rules keep a key at one owner. A grant goes out only for an assignment that is saved in the
 //! store. And a new owner gets a grant only after each earlier owner either confirmed a release under
 //! the new, higher fence, which also makes it refuse grants that are still on their way, or can't
-//! hold the keys any more because its last possible grant has run out or its run has ended.
+//! hold the keys any more because its last possible grant has run out. A later run under its name
+//! shows nothing: the grant may have reached that one.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -220,20 +221,14 @@
         silent.map(|(holder, _)| holder.clone()).collect()
     }
 
-    /// Gives what is due; `is_ended` knows runs of upstreams that have ended for certain, and
-    /// `is_known` those that can be called.
-    pub(crate) fn tick(
-        &mut self,
-        now: Instant,
-        support: &Support,
-        is_ended: impl Fn(&Holder) -> bool,
-        is_known: impl Fn(&Holder) -> bool,
-    ) -> Vec<Action> {
+    /// Gives what is due; `is_known` knows the runs that can be called. An order for a run that has
+    /// ended goes to the one after it, which may have taken its grants.
+    pub(crate) fn tick(&mut self, now: Instant, support: &Support, is_known: impl Fn(&Holder) -> bool) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.may_order(now, support) {
             for at in 0..self.table.parts.len() {
                 if self.table.parts[at].fence <= self.saved_fence {
-                    self.step_part(now, at, &is_ended, &is_known, &mut actions);
+                    self.step_part(now, at, &is_known, &mut actions);
                 }
             }
             self.probe_silent(now, &is_known, &mut actions);
@@ -250,14 +245,7 @@
         actions
     }
 
-    fn step_part(
-        &mut self,
-        now: Instant,
-        at: usize,
-        is_ended: &impl Fn(&Holder) -> bool,
-        is_known: &impl Fn(&Holder) -> bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn step_part(&mut self, now: Instant, at: usize, is_known: &impl Fn(&Holder) -> bool, actions: &mut Vec<Action>) {
         let part = &self.table.parts[at];
         let (span, fence) = (part.span, part.fence);
         let progress = self.progress.entry(fence).or_default();
@@ -268,8 +256,7 @@
             let is_same = part.owner.as_ref() == Some(holder);
             // A refused connection shows nothing: a live upstream with too many refuses more.
             let has_run_out = runs_out.is_none_or(|end| end <= now) && !self.sending.contains_key(holder);
-            let is_over = is_same || is_ended(holder) || has_run_out;
-            if is_over || progress.released.contains(holder) {
+            if is_same || has_run_out || progress.released.contains(holder) {
                 continue;
             }
             is_free = false;
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -301,6 +301,8 @@
     },
     /// A server's process ends for good.
     Crash(usize),
+    /// A server's process starts anew at its address; its announcement moves its keys to the next server.
+    Reborn(usize),
     /// Orders leave so many steps after they were given, as a busy host is slow to send them.
     Lag(u32),
     /// A live server refuses connections from now on, as it has too many, or takes them again.
@@ -325,6 +327,7 @@
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, cut)| Event::Cut(server, cut)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, deaf)| Event::Deaf(server, deaf)),
         1 => (0_usize..3, any::<bool>()).prop_map(|(server, full)| Event::Full(server, full)),
+        1 => (0_usize..3).prop_map(Event::Reborn),
         1 => (0..LAG_MAX).prop_map(Event::Lag),
         2 => (0..HOSTS).prop_map(Event::TakeOver),
         1 => (0..HOSTS, 0_usize..3, 0_usize..3).prop_map(|(by, server, to)| Event::Usurp { by, server, to }),
@@ -337,6 +340,8 @@
 
 /// Steps for which a host may take to send an order; the limit of a call is 0.6 s.
 const LAG_MAX: u32 = 12;
+/// Time after which a new run of a server is known.
+const ANNOUNCE_LAG: Duration = Duration::from_millis(700);
 /// Hosts that grant and that confirm grantors.
 const HOSTS: usize = 5;
 /// Delays of messages between hosts, in turn.
@@ -391,6 +396,11 @@
     is_deaf: Vec<bool>,
     is_down: Vec<bool>,
     is_full: Vec<bool>,
+    born: Vec<u64>,
+    /// Runs that have been announced.
+    announced: Vec<u64>,
+    /// Announcements on their way.
+    announcing: Vec<(Instant, usize)>,
     flying: Vec<Flying>,
     places: Vec<Place>,
     post: VecDeque<Post>,
@@ -421,6 +431,9 @@
             is_deaf: vec![false; 3],
             is_down: vec![false; 3],
             is_full: vec![false; 3],
+            born: vec![1; 3],
+            announced: vec![1; 3],
+            announcing: Vec::new(),
             flying: Vec::new(),
             places: vec![Place::default(); HOSTS],
             post: VecDeque::new(),
@@ -466,6 +479,7 @@
         self.now += STEP;
         let now = self.now;
         self.deliver();
+        self.announce();
         let newest = self.reigns.len() - 1;
         self.steps += 1;
         let is_round = self.steps.is_multiple_of(ROUND_STEPS);
@@ -477,7 +491,7 @@
                 self.keep_support(at, newest);
             }
             let reign = &mut self.reigns[at];
-            let actions = reign.grantor.tick(now, &reign.support, |_| false, |_| true);
+            let actions = reign.grantor.tick(now, &reign.support, |_| true);
             for action in actions {
                 match action {
                     // The store shuts out all epochs but the newest, and may be out of reach.
@@ -502,6 +516,38 @@
         self.checker.check(now, &self.servers)
     }
 
+    fn holder(&self, server: usize) -> Holder {
+        Holder {
+            upstream: NAMES[server].parse().expect("a name"),
+            born: self.announced[server],
+        }
+    }
+
+    /// Does what the planner does when it learns of a new run.
+    fn announce(&mut self) {
+        let (due, later) = std::mem::take(&mut self.announcing)
+            .into_iter()
+            .partition(|(at, _)| *at <= self.now);
+        self.announcing = later;
+        let due: Vec<(Instant, usize)> = due;
+        for (_, server) in due {
+            let old = self.holder(server);
+            self.announced[server] = self.born[server];
+            let owner = self.holder((server + 1) % NAMES.len());
+            if let Some(reign) = self.reigns.last_mut() {
+                let parts = &reign.grantor.table().parts;
+                let theirs = parts.iter().filter(|part| part.owner.as_ref() == Some(&old));
+                let moves: Vec<Move> = theirs
+                    .map(|part| Move {
+                        span: part.span,
+                        owner: owner.clone(),
+                    })
+                    .collect();
+                reign.grantor.apply(&moves);
+            }
+        }
+    }
+
     /// Once a grantor relies on its having stopped, no earlier one may give orders.
     fn check_reigns(&self) -> Result<(), String> {
         let Some((newest, earlier)) = self.reigns.split_last() else {
@@ -694,7 +740,7 @@
                 }
             }
             Event::Move(first, last, to) => {
-                let owner = holder(NAMES[*to]);
+                let owner = self.holder(*to);
                 let span = span(*first, *last);
                 if let Some(reign) = self.reigns.last_mut() {
                     reign.grantor.apply(&[Move { span, owner }]);
@@ -715,7 +761,7 @@
                         .stored
                         .parts
                         .iter()
-                        .filter(|part| part.owner == Some(holder(NAMES[*server])))
+                        .filter(|part| part.owner == Some(self.holder(*server)))
                         .map(|part| part.span)
                         .collect();
                     for span in spans {
@@ -723,6 +769,11 @@
                     }
                 }
             }
+            Event::Reborn(server) => {
+                self.born[*server] += 1;
+                self.servers[*server] = Server::default();
+                self.announcing.push((self.now + ANNOUNCE_LAG, *server));
+            }
             Event::Full(server, is_full) => self.is_full[*server] = *is_full,
             Event::Deaf(server, is_deaf) => self.is_deaf[*server] = *is_deaf,
             Event::TakeOver(host) => self.take_over(*host),
@@ -746,6 +797,10 @@
         Action::Grant { holder, .. } | Action::Release { holder, .. } | Action::Probe(holder) => holder,
         Action::Save(_) => unreachable!("a table is saved, not sent"),
     };
+    server_at(holder)
+}
+
+fn server_at(holder: &Holder) -> usize {
     NAMES
         .iter()
         .position(|name| *name == holder.upstream.as_str())
@@ -852,11 +907,11 @@
     let mut grantor = Grantor::take_over(now, &host("host-a"), 1, table(), HOLD);
     let owner = holder("a");
     grantor.apply(&[Move { span: Span::ALL, owner }]);
-    let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
+    let actions = grantor.tick(now, &confirmed(now), |_| true);
     assert!(matches!(actions.as_slice(), [Action::Save(_)]), "{actions:?}");
     let fence = grantor.table().last_fence;
     grantor.note_saved(fence);
-    let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
+    let actions = grantor.tick(now, &confirmed(now), |_| true);
     assert!(matches!(actions.as_slice(), [Action::Grant { .. }]), "{actions:?}");
 }
 
@@ -870,10 +925,10 @@
         span: Span::ALL,
         owner: owner.clone(),
     }]);
-    grantor.tick(now, &confirmed(now), |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| true);
     let fence = grantor.table().last_fence;
     grantor.note_saved(fence);
-    grantor.tick(now, &confirmed(now), |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| true);
     grantor.note_grant(now, &owner, fence, now, GrantOutcome::Taken);
     assert!(grantor.table().parts[0].ready);
     grantor.note_grant(now, &owner, fence, now, GrantOutcome::Broken);
@@ -881,10 +936,10 @@
     assert!(grantor.table().parts[0].ready, "requests may still go there");
     // A process that restarted under its name is cold, which the grantor has to learn first.
     let fence = grantor.table().last_fence;
-    grantor.tick(now, &confirmed(now), |_| false, |_| true);
+    grantor.tick(now, &confirmed(now), |_| true);
     grantor.note_saved(fence);
     let later = now + Duration::from_secs(1);
-    let actions = grantor.tick(later, &confirmed(later), |_| false, |_| true);
+    let actions = grantor.tick(later, &confirmed(later), |_| true);
     let asks = |action: &Action| matches!(action, Action::Grant { asks_health: true, .. });
     assert!(actions.iter().any(asks), "{actions:?}");
 }
@@ -897,7 +952,7 @@
     let start = Instant::now();
     let mut grantor = Grantor::take_over(start, &host("host-a"), 1, table(), HOLD);
     let tick = |grantor: &mut Grantor, now| {
-        let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
+        let actions = grantor.tick(now, &confirmed(now), |_| true);
         let fence = grantor.table().last_fence;
         grantor.note_saved(fence);
         (actions, fence)
--- a/src/keys/tests/succession.rs
+++ b/src/keys/tests/succession.rs
@@ -76,7 +76,7 @@
     let mut grantor = Grantor::take_over(now, &host("host-a"), 1, table(), HOLD);
     let (old, new) = ([run("a", 1)], [run("b", 1)]);
     let save = |grantor: &mut Grantor| {
-        let actions = grantor.tick(now, &confirmed(now), |_| false, |_| true);
+        let actions = grantor.tick(now, &confirmed(now), |_| true);
         assert!(
             actions.iter().any(|action| matches!(action, Action::Save(_))),
             "{actions:?}"
--- a/standins/src/bin/path-cost.rs
+++ b/standins/src/bin/path-cost.rs
@@ -36,6 +36,9 @@
     /// Time of each throughput measurement, in seconds
     #[arg(long, default_value_t = 5)]
     seconds: u64,
+    /// Never read what the gateway logs, as a stuck collector does
+    #[arg(long)]
+    stuck_output: bool,
     /// Connections at once for throughput
     #[arg(long, default_value_t = 16)]
     connections: usize,
@@ -58,13 +61,14 @@
         zone: "zone-a".to_owned(),
         store,
         address: server,
+        record: None,
         slots: 1_000,
         work: Duration::ZERO,
         is_sharded: false,
     };
     tokio::spawn(Arc::new(Server::new(setup)).run(listener));
     append(store, "keyed.op", "config", CONFIGURATION.as_bytes()).await?;
-    let (mut process, gateway) = start_gateway(store).await?;
+    let (mut process, gateway) = start_gateway(store, arguments.stuck_output).await?;
     let result = compare(&arguments, server, gateway, process.id()).await;
     // The process ends with this one; a failure to end it is told by the system.
     let _ = process.kill();
@@ -100,7 +104,7 @@
     Ok(())
 }
 
-async fn start_gateway(store: SocketAddr) -> Result<(Child, SocketAddr), String> {
+async fn start_gateway(store: SocketAddr, is_stuck: bool) -> Result<(Child, SocketAddr), String> {
     let free = || {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         listener.local_addr().map_err(|e| e.to_string())
@@ -118,7 +122,7 @@
     let child = Command::new(program)
         .args(["gateway", "--settings"])
         .arg(&path)
-        .stdout(Stdio::null())
+        .stdout(if is_stuck { Stdio::piped() } else { Stdio::null() })
         .spawn()
         .map_err(|e| e.to_string())?;
     let start = Instant::now();
--- a/standins/src/bin/server.rs
+++ b/standins/src/bin/server.rs
@@ -1,6 +1,7 @@
 //! Runs the stand-in for a server of the users.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,12 @@
     /// Address to listen on
     #[arg(long, default_value = "127.0.0.1:0")]
     listen: SocketAddr,
+    /// Address to announce instead, such as that of a proxy
+    #[arg(long)]
+    announce: Option<SocketAddr>,
+    /// File to which it appends what it does
+    #[arg(long)]
+    record: Option<PathBuf>,
     /// Requests that it works on at once
     #[arg(long, default_value_t = 4)]
     slots: usize,
@@ -46,7 +53,8 @@
         service: arguments.service,
         zone: arguments.zone,
         store: arguments.store,
-        address,
+        address: arguments.announce.unwrap_or(address),
+        record: arguments.record,
         slots: arguments.slots,
         work: Duration::from_millis(arguments.work_ms),
         is_sharded: arguments.sharded,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod http;
 pub mod server;
+pub mod soak;
 pub mod store;
 
 pub use http::bind;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -1,7 +1,10 @@
 //! Stand-in for a server of the users: it announces itself in the store, takes grants and runs requests.
 
 use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -33,8 +36,10 @@
     pub zone: String,
     /// Address of the store in which it announces itself.
     pub store: SocketAddr,
-    /// Address on which it serves.
+    /// Address that it announces, which may be that of a proxy.
     pub address: SocketAddr,
+    /// File to which it appends what it does.
+    pub record: Option<PathBuf>,
     /// Requests that it works on at once.
     pub slots: usize,
     /// Time that a request takes.
@@ -95,6 +100,58 @@
     }
 }
 
+/// What a server did, as it appends it to its record before the effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Deed {
+    /// It took keys until a time in Unix milliseconds.
+    Grant(u16, u16, u64, u64),
+    /// It gave up keys.
+    Release(u16, u16, u64),
+    /// It began to run a request, for a key if there is one.
+    Run(String, Option<u16>),
+    /// Its process was ended, as told by who ended it.
+    End,
+}
+
+/// A line of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordLine {
+    /// Unix milliseconds.
+    pub at: u64,
+    /// Name of the server.
+    pub server: String,
+    /// What it did.
+    pub deed: Deed,
+}
+
+/// Gives the time of day in Unix milliseconds.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or_default()
+}
+
+/// Appends a line to a record in one write, so that lines of several processes don't mix.
+///
+/// # Errors
+///
+/// Fails if the file can't be written.
+pub fn append_record(path: &Path, server: &str, deed: Deed) -> std::io::Result<()> {
+    let line = RecordLine {
+        at: unix_ms(),
+        server: server.to_owned(),
+        deed,
+    };
+    let mut text = serde_json::to_vec(&line)?;
+    text.push(b'\n');
+    OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)?
+        .write_all(&text)
+}
+
 #[derive(Debug)]
 struct Grant {
     first: u16,
@@ -125,9 +182,8 @@
     /// Makes a stand-in.
     #[must_use]
     pub fn new(setup: Setup) -> Self {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
-            born: u64::try_from(born.as_millis()).unwrap_or_default(),
+            born: unix_ms(),
             slots: Semaphore::new(setup.slots),
             running: AtomicU64::new(0),
             state: Mutex::default(),
@@ -145,6 +201,13 @@
         serve(listener, handle).await;
     }
 
+    /// Records what it is about to do; without its record a test would judge wrongly.
+    fn record(&self, deed: Deed) {
+        if let Some(path) = &self.setup.record {
+            append_record(path, &self.setup.name, deed).expect("the record can be written");
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -175,6 +238,8 @@
         if is_fenced {
             return reply(StatusCode::CONFLICT, "");
         }
+        let until = unix_ms() + u64::try_from(order.hold.as_millis()).unwrap_or_default();
+        self.record(Deed::Grant(order.first, order.last, order.fence, until));
         state
             .grants
             .retain(|g| !(g.first == order.first && g.last == order.last));
@@ -222,6 +287,7 @@
             until: now,
         });
         state.grants = kept;
+        self.record(Deed::Release(order.first, order.last, order.fence));
         reply(StatusCode::OK, "")
     }
 
@@ -255,6 +321,7 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return Reply::Cut;
         };
+        self.record(Deed::Run(id.clone(), key.filter(|_| self.setup.is_sharded)));
         *self.lock().runs.requests.entry(id.clone()).or_default() += 1;
         self.running.fetch_add(1, Ordering::Relaxed);
         let mut running = Running {
