Drop bytes of reset connections in the soak's proxy

Trace: the link to placas-2 held bytes up from 189 s to 197.5 s (Unix time less); a grant of 190 to 192 s, whose call had ended and whose connection was reset by then, was delivered at 197.511 s when the link healed. Bytes that a cut holds up are lost if their sender resets the connection (DEPLOY.md, Network), so the case is not one of a network: the proxy is at fault, not the grantor.

Change: the proxy looks for a reset before it passes on what it held up.

--- a/standins/src/soak/proxy.rs
+++ b/standins/src/soak/proxy.rs
@@ -119,6 +119,10 @@
         if let Harm::Delay(time) = harm {
             sleep(time).await;
         }
+        // Bytes that are held up are lost if their sender resets the connection meanwhile.
+        if let Some(error) = from.as_ref().take_error()? {
+            return Err(error);
+        }
         if length == 0 {
             return to.shutdown().await;
         }
