Log and count what the records of crashes are based on

The lines couldn't show why: a crash that counted looked like one that didn't, silence and a broken body left no line, and a cleared suspicion none either.

Change: the lines 'attempt timed out', 'response broke off within its body', 'crash reported by another host' and 'request no longer suspected of crashes', the fingerprint of failed attempts, the number of crashes that count, and the counter ragworthub_crashes_total. No decision changes.

--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -71,23 +71,24 @@
         broken.push((request, now));
     }
 
-    /// Records that an upstream can't be reached, and returns the requests that may have crashed it.
-    pub(crate) fn record_unreachable(&mut self, now: Instant, upstream: &UpstreamName) -> Vec<Fingerprint> {
+    /// Records that an upstream can't be reached. Returns the requests that may have crashed it, each with the
+    /// number of its crashes.
+    pub(crate) fn record_unreachable(&mut self, now: Instant, upstream: &UpstreamName) -> Vec<(Fingerprint, u32)> {
         let broken = self.broken.remove(upstream).unwrap_or_default();
         let recent = broken.into_iter().filter(|(_, at)| now < *at + CRASH_WINDOW);
         let requests: Vec<Fingerprint> = recent.map(|(request, _)| request).collect();
-        for &request in &requests {
-            self.record_crash(now, request);
-        }
         requests
+            .into_iter()
+            .map(|request| (request, self.record_crash(now, request)))
+            .collect()
     }
 
-    /// Records a crash that this host or another one has observed.
-    pub(crate) fn record_crash(&mut self, now: Instant, request: Fingerprint) {
+    /// Records a crash that this host or another one has observed. Returns the number of crashes that count.
+    pub(crate) fn record_crash(&mut self, now: Instant, request: Fingerprint) -> u32 {
         self.suspects
             .retain(|_, suspect| now < suspect.last_crash + SUSPECT_EXPIRY);
         if self.suspects.len() >= SUSPECTS_MAX {
-            return;
+            return 0;
         }
         let suspect = self.suspects.entry(request).or_insert(Suspect {
             crashes: 0,
@@ -97,13 +98,13 @@
             suspect.crashes += 1;
         }
         suspect.last_crash = now;
+        suspect.crashes
     }
 
-    /// Records that an upstream responded to a request, which clears the suspicion.
-    pub(crate) fn record_response(&mut self, request: Fingerprint) {
-        if !self.suspects.is_empty() {
-            self.suspects.remove(&request);
-        }
+    /// Records that an upstream responded to a request, which clears the suspicion. Reports whether the request
+    /// was a suspect.
+    pub(crate) fn record_response(&mut self, request: Fingerprint) -> bool {
+        !self.suspects.is_empty() && self.suspects.remove(&request).is_some()
     }
 
     pub(crate) fn is_blocked(&self, now: Instant, request: Fingerprint) -> bool {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use slog::warn;
 use tokio::time::Instant;
 
 use super::connections::{Sender, read_keep_alive};
@@ -53,16 +54,18 @@
 pub(crate) struct AttemptGuard {
     gateway: Rc<Gateway>,
     pub(crate) upstream: UpstreamName,
+    request: HeaderValue,
     sender: Option<Sender>,
     keep_alive: Option<Duration>,
 }
 
 impl AttemptGuard {
-    pub(crate) fn start(gateway: &Rc<Gateway>, upstream: &UpstreamName) -> Self {
+    pub(crate) fn start(gateway: &Rc<Gateway>, upstream: &UpstreamName, request: &HeaderValue) -> Self {
         gateway.count_in_flight(Instant::now(), upstream);
         Self {
             gateway: Rc::clone(gateway),
             upstream: upstream.clone(),
+            request: request.clone(),
             sender: None,
             keep_alive: None,
         }
@@ -74,6 +77,11 @@
         self.keep_alive = read_keep_alive(headers);
     }
 
+    fn log_broken_body(&self, error: &hyper::Error) {
+        warn!(self.gateway.log, "response broke off within its body; the caller's connection is closed";
+            "request" => self.request.to_str().unwrap_or_default(), "upstream" => %self.upstream, "error" => %error);
+    }
+
     /// Returns the connection to its pool for further requests.
     pub(crate) fn return_connection(&mut self) {
         if let Some(sender) = self.sender.take() {
@@ -120,6 +128,9 @@
                 {
                     guard.return_connection();
                 }
+                if let Poll::Ready(Some(Err(error))) = &frame {
+                    guard.log_broken_body(error);
+                }
                 frame
             }
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
 use http_body::Body;
 use hyper::body::Incoming;
-use slog::warn;
+use slog::{info, warn};
 use tokio::time::{Instant, sleep_until};
 
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
@@ -50,7 +50,7 @@
         .borrow()
         .get(upstream)
         .map_or(1.0, |u| u.load.queue_factor(started));
-    let mut guard = AttemptGuard::start(gateway, upstream);
+    let mut guard = AttemptGuard::start(gateway, upstream, &ctx.id);
     ctx.is_attempting = true;
     let sent = connect_and_send(gateway, ctx, upstream, started).await;
     ctx.is_attempting = false;
@@ -116,11 +116,14 @@
         .suspects
         .borrow_mut()
         .record_unreachable(Instant::now(), upstream);
-    for request in &suspected {
-        warn!(gateway.log, "request may have crashed an upstream"; "upstream" => %upstream, "fingerprint" => %request);
+    for (request, crashes) in &suspected {
+        gateway.metrics.count_crash();
+        warn!(gateway.log, "request may have crashed an upstream"; "upstream" => %upstream, "fingerprint" => %request,
+            "crashes" => crashes);
     }
     if !suspected.is_empty() {
-        gateway.outbox.send(Message::Crashes(suspected));
+        let requests = suspected.into_iter().map(|(request, _)| request).collect();
+        gateway.outbox.send(Message::Crashes(requests));
     }
     warn!(gateway.log, "upstream unreachable"; "upstream" => %upstream, "error" => error);
 }
@@ -153,7 +156,7 @@
             let error = error.into_error();
             record_outcome(gateway, upstream, Outcome::Failed);
             warn!(gateway.log, "attempt failed"; "request" => ctx.id.to_str().unwrap_or_default(),
-                "upstream" => %upstream, "error" => %error);
+                "upstream" => %upstream, "error" => %error, "fingerprint" => %ctx.fingerprint);
             gateway
                 .suspects
                 .borrow_mut()
@@ -167,6 +170,8 @@
         }
         None => {
             record_outcome(gateway, upstream, Outcome::Failed);
+            warn!(gateway.log, "attempt timed out"; "request" => ctx.id.to_str().unwrap_or_default(),
+                "upstream" => %upstream, "fingerprint" => %ctx.fingerprint);
             Some(Err(failure(Reason::DeadlineExceeded, Verdict::MayHaveRun)))
         }
     }
@@ -242,7 +247,10 @@
         record_outcome(gateway, &upstream, Outcome::Failed);
         return Err(failure(Reason::BadResponse, Verdict::MayHaveRun));
     }
-    gateway.suspects.borrow_mut().record_response(ctx.fingerprint);
+    if gateway.suspects.borrow_mut().record_response(ctx.fingerprint) {
+        info!(gateway.log, "request no longer suspected of crashes"; "upstream" => %upstream,
+            "fingerprint" => %ctx.fingerprint);
+    }
     let is_server_error = status.is_server_error();
     record_outcome(
         gateway,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -171,7 +171,8 @@
             Ok(Message::Crashes(requests)) => {
                 let mut suspects = gateway.suspects.borrow_mut();
                 for request in requests {
-                    suspects.record_crash(Instant::now(), request);
+                    let crashes = suspects.record_crash(Instant::now(), request);
+                    info!(gateway.log, "crash reported by another host"; "fingerprint" => %request, "crashes" => crashes);
                 }
             }
             Ok(Message::Cold { upstream, millis }) => record_cold(&gateway, &upstream, Duration::from_millis(millis)),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderValue, Request};
 use http_body_util::Full;
 use slog::{Discard, Logger, o};
 use tokio::io::AsyncReadExt;
@@ -103,7 +103,7 @@
             .get(&name)
             .is_some_and(|u| gateway.has_room(now, &pool, u));
         if has_room {
-            guards.push(AttemptGuard::start(&gateway, &name));
+            guards.push(AttemptGuard::start(&gateway, &name, &HeaderValue::from_static("r")));
         }
     }
     // With this host alone, the limit is 5 + 1 requests; the host may use only a part of it.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -44,6 +44,7 @@
     failures: Family<ReasonLabels, Counter>,
     retries: Family<ReasonLabels, Counter>,
     latencies: Family<RouteLabels, Histogram>,
+    crashes: Counter,
     configuration: Gauge,
     upstreams: Gauge,
     hosts: Gauge,
@@ -81,6 +82,7 @@
             failures: Family::default(),
             retries: Family::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_SECONDS)),
+            crashes: Counter::default(),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
@@ -112,6 +114,11 @@
             "Time to the response head by route",
             metrics.latencies.clone(),
         );
+        r.register(
+            "crashes",
+            "Crashes of upstreams with a request that may have caused them",
+            metrics.crashes.clone(),
+        );
         for (name, help, gauge) in [
             (
                 "configuration_version",
@@ -188,6 +195,10 @@
             .inc();
     }
 
+    pub(crate) fn count_crash(&self) {
+        self.crashes.inc();
+    }
+
     /// Sets the gauges from the snapshot and encodes all metrics in the text format.
     pub(crate) fn render(&self, snapshot: StateSnapshot) -> String {
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
