Block requests that crash servers in whatever way these end

Cause: a crash was known only if an attempt's connection broke and the same host was then refused a connection to that server within 3 s. Silence, deadlines, callers that left and broken bodies started nothing. Crashes less than 1 s apart counted as one, so servers that ended under the retries of one request did not add up. The head of a response cleared the suspicion. The class: an inference from an event that happens only by accident, and evidence that counts by time where it should count by cause.

Ruled out: lost datagrams (36 of 36 reports arrived), and attempts after the first that aren't checked (the first refusal came only after more than eight crashes).

Change: hosts keep what runs at each upstream and what ran when it was last heard from. Whatever may be the end of an upstream starts a check of its health path; its end makes suspects of these requests. A crash counts if its request was sent after the crash before, and once for each end of an upstream. Hosts send each other all that they have seen, so a lost datagram costs a delay. Only a complete response of an upstream that is heard from afterwards clears a suspicion. A request with two crashes isn't retried, and one that becomes blocked while it waits isn't sent.

The old message 'Crashes' is still decoded and ignored: it doesn't name the upstream.

The two tests of suspects in fleet are as strict as before, with the new calls.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod load;
 mod pick;
+mod runs;
 mod suspects;
 
 #[cfg(test)]
@@ -21,7 +22,8 @@
 pub(crate) use health::{Health, Outcome};
 pub(crate) use load::{Load, LoadReport};
 pub(crate) use pick::{Locality, PickCriteria, expected_latency, pick_upstream};
-pub(crate) use suspects::{Fingerprint, Suspects};
+pub(crate) use runs::{Run, RunEnd, Runs};
+pub(crate) use suspects::{Crash, CrashReport, Fingerprint, Suspects};
 
 /// Grace period after a store outage for upstreams whose entries have expired; upstreams announce
 /// themselves again within about two seconds after the store's return.
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -7,10 +7,11 @@
 use tokio::time::Instant;
 
 use super::{
-    Change, Fingerprint, Fleet, Health, Load, LoadReport, Locality, Outcome, PickCriteria, Suspects, pick_upstream,
+    Change, Crash, CrashReport, Fingerprint, Fleet, Health, Load, LoadReport, Locality, Outcome, PickCriteria, Run,
+    RunEnd, Runs, Suspects, pick_upstream,
 };
 use crate::catalog::{Announcement, Phase};
-use crate::types::{PoolName, UpstreamName, Zone};
+use crate::types::{HostName, PoolName, UpstreamName, Zone};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -222,24 +223,61 @@
     assert!(health.admits(later));
 }
 
+/// What a host knows of runs and crashes.
+#[derive(Default)]
+struct CrashView {
+    runs: Runs,
+    suspects: Suspects,
+}
+
+impl CrashView {
+    fn own() -> HostName {
+        "own".parse().expect("valid name")
+    }
+
+    fn run(&mut self, sent: Instant, end: (Instant, RunEnd), upstream: &UpstreamName, request: Fingerprint) {
+        let run = Run { request, sent };
+        self.runs.start(upstream, run);
+        self.runs.end(end.0, upstream, run, end.1);
+    }
+
+    fn hear(&mut self, now: Instant, upstream: &UpstreamName) {
+        for (request, at) in self.runs.record_heard(now, upstream) {
+            self.suspects.record_served(request, at);
+        }
+    }
+
+    fn end_upstream(&mut self, now: Instant, upstream: &UpstreamName) {
+        for (request, crash) in self.runs.record_end(now, upstream) {
+            self.suspects.record_crash(now, &Self::own(), request, crash);
+        }
+    }
+}
+
+const POISONOUS_BODY: &[u8] = b"1";
+
+fn poisonous() -> Fingerprint {
+    Fingerprint::of("POST", "/x", POISONOUS_BODY)
+}
+
 /// Guards against a poisonous request that goes on crashing upstreams, and against blocking
 /// a harmless one that was in flight during the crashes.
 #[test]
 fn only_poisonous_request_is_blocked() {
     let start = Instant::now();
-    let (poisonous, harmless) = (Fingerprint::of("POST", "/x", b"1"), Fingerprint::of("GET", "/y", b""));
-    let mut suspects = Suspects::default();
+    let harmless = Fingerprint::of("GET", "/y", b"");
+    let (mut view, other) = (CrashView::default(), name("other"));
     for round in 0..3_u64 {
         let now = start + ms(2_000 * round);
         let upstream = name(&format!("u{round}"));
-        suspects.record_broken_connection(now, &upstream, poisonous);
-        suspects.record_broken_connection(now, &upstream, harmless);
-        suspects.record_unreachable(now + ms(50), &upstream);
-        suspects.record_response(harmless);
+        view.run(now, (now + ms(10), RunEnd::Broken), &upstream, poisonous());
+        view.run(now, (now + ms(10), RunEnd::Broken), &upstream, harmless);
+        view.end_upstream(now + ms(50), &upstream);
+        view.run(now + ms(60), (now + ms(80), RunEnd::Complete), &other, harmless);
+        view.hear(now + ms(900), &other);
     }
-    let now = start + ms(5_000);
-    assert!(suspects.is_blocked(now, poisonous));
-    assert!(!suspects.is_blocked(now, harmless));
+    assert!(view.suspects.is_blocked(poisonous()));
+    assert!(!view.suspects.is_blocked(harmless));
 }
 
 /// Guards against blocking a request because several upstreams crashed at the same time, as when
@@ -248,13 +286,147 @@
 fn simultaneous_crashes_do_not_block_request() {
     let now = Instant::now();
     let request = Fingerprint::of("GET", "/y", b"");
-    let mut suspects = Suspects::default();
+    let mut view = CrashView::default();
     for number in 0..5 {
         let upstream = name(&format!("u{number}"));
-        suspects.record_broken_connection(now, &upstream, request);
-        suspects.record_unreachable(now + ms(100), &upstream);
+        view.run(now + ms(number), (now + ms(10), RunEnd::Broken), &upstream, request);
+        view.end_upstream(now + ms(100), &upstream);
+    }
+    assert!(!view.suspects.is_blocked(request));
+}
+
+/// Guards against counting the crashes of upstreams that a request ends one after the other within a second,
+/// as retries make it do, as one crash.
+#[test]
+fn successive_crashes_within_a_second_block_request() {
+    let start = Instant::now();
+    let mut view = CrashView::default();
+    for number in 0..3 {
+        let (sent, upstream) = (start + ms(25 * number), name(&format!("u{number}")));
+        view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, poisonous());
+    }
+    for number in 0..3 {
+        view.end_upstream(start + ms(200), &name(&format!("u{number}")));
+    }
+    assert!(view.suspects.is_blocked(poisonous()));
+}
+
+/// Guards against missing the crashes of upstreams that fall silent: the request may still wait for its
+/// response, or nobody waits for it any more.
+#[test]
+fn silent_ends_block_request() {
+    for is_abandoned in [false, true] {
+        let start = Instant::now();
+        let mut view = CrashView::default();
+        for number in 0..3_u64 {
+            let (sent, upstream) = (start + ms(700 * number), name(&format!("u{number}")));
+            view.hear(sent, &upstream);
+            let run = Run {
+                request: poisonous(),
+                sent,
+            };
+            view.runs.start(&upstream, run);
+            if is_abandoned {
+                view.runs.end(sent + ms(800), &upstream, run, RunEnd::Abandoned);
+            }
+        }
+        for number in 0..3 {
+            view.end_upstream(start + ms(2_600), &name(&format!("u{number}")));
+        }
+        assert!(view.suspects.is_blocked(poisonous()), "abandoned: {is_abandoned}");
+    }
+}
+
+/// Guards against a complete response that clears a request although the upstream ended right after it.
+#[test]
+fn ends_after_the_response_block_request() {
+    let start = Instant::now();
+    let mut view = CrashView::default();
+    for number in 0..3_u64 {
+        let (sent, upstream) = (start + ms(700 * number), name(&format!("u{number}")));
+        view.hear(sent + ms(20), &upstream);
+        view.run(sent, (sent + ms(20), RunEnd::Complete), &upstream, poisonous());
+        view.end_upstream(sent + ms(300), &upstream);
+    }
+    assert!(view.suspects.is_blocked(poisonous()));
+}
+
+/// Guards against blocking a request because one upstream fell silent while several of it were sent there, and
+/// against not counting a second end of an upstream that was heard from in between.
+#[test]
+fn one_end_of_an_upstream_counts_once() {
+    let start = Instant::now();
+    let upstream = name("u");
+    let mut view = CrashView::default();
+    for number in 0..3 {
+        let sent = start + ms(700 * number);
+        if number == 1 {
+            // Another host had a response that was on its way when the upstream fell silent.
+            let heard = Some(start + ms(20));
+            let crash = Crash {
+                upstream: upstream.clone(),
+                heard,
+                sent,
+                ended: sent,
+                noticed: sent + ms(600),
+            };
+            let report = CrashReport {
+                crashes: vec![crash],
+                served: None,
+            };
+            let host = "other".parse().expect("valid name");
+            view.suspects.apply_report(sent, &host, poisonous(), report);
+        }
+        view.run(sent, (sent + ms(500), RunEnd::Abandoned), &upstream, poisonous());
+        view.end_upstream(sent + ms(600), &upstream);
+    }
+    assert!(view.suspects.may_retry(poisonous()));
+    for number in 0..2 {
+        let sent = start + ms(3_000 + 700 * number);
+        view.hear(sent, &upstream);
+        view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, poisonous());
+        view.end_upstream(sent + ms(100), &upstream);
+    }
+    assert!(view.suspects.is_blocked(poisonous()));
+}
+
+/// Guards against reports of other hosts that count twice when they are sent again, that are lost with one
+/// datagram, or that block a request which was served since.
+#[test]
+fn repeated_reports_count_once_and_responses_outdate_them() {
+    let start = Instant::now();
+    let crash = |at: u64| Crash {
+        upstream: name(&format!("u{at}")),
+        heard: None,
+        sent: start + ms(at),
+        ended: start + ms(at + 10),
+        noticed: start + ms(at + 100),
+    };
+    let host = |text: &str| -> HostName { text.parse().expect("valid name") };
+    let report = |crashes: &[Crash]| CrashReport {
+        crashes: crashes.to_vec(),
+        served: None,
+    };
+    let mut suspects = Suspects::default();
+    let now = start + ms(2_000);
+    for _ in 0..3 {
+        suspects.apply_report(now, &host("a"), poisonous(), report(&[crash(0), crash(700)]));
     }
-    assert!(!suspects.is_blocked(now + ms(200), request));
+    assert!(!suspects.is_blocked(poisonous()));
+    assert!(!suspects.may_retry(poisonous()));
+    suspects.apply_report(now, &host("b"), poisonous(), report(&[crash(1_400)]));
+    assert!(suspects.is_blocked(poisonous()));
+    let served = CrashReport {
+        crashes: vec![],
+        served: Some(start + ms(1_000)),
+    };
+    suspects.apply_report(now, &host("c"), poisonous(), served);
+    assert!(!suspects.is_blocked(poisonous()));
+    suspects.apply_report(now, &host("a"), poisonous(), report(&[crash(0), crash(700)]));
+    assert!(
+        !suspects.is_blocked(poisonous()),
+        "crashes before the response count again"
+    );
 }
 
 proptest! {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -13,8 +13,11 @@
 use slog::warn;
 use tokio::time::Instant;
 
+use super::attempt::SILENCE_MIN;
 use super::connections::{Sender, read_keep_alive};
+use super::crashes::{record_heard, request_check};
 use super::state::Gateway;
+use crate::fleet::{Fingerprint, Run, RunEnd};
 use crate::platform::REQUEST_ID;
 use crate::types::{Reason, UpstreamName, Verdict};
 
@@ -55,6 +58,8 @@
     gateway: Rc<Gateway>,
     pub(crate) upstream: UpstreamName,
     request: HeaderValue,
+    /// The run, from when the request was sent until the response is complete.
+    run: Option<Run>,
     sender: Option<Sender>,
     keep_alive: Option<Duration>,
 }
@@ -66,11 +71,27 @@
             gateway: Rc::clone(gateway),
             upstream: upstream.clone(),
             request: request.clone(),
+            run: None,
             sender: None,
             keep_alive: None,
         }
     }
 
+    /// Records that the request is sent.
+    pub(crate) fn start_run(&mut self, now: Instant, request: Fingerprint) {
+        let run = Run { request, sent: now };
+        self.gateway.runs.borrow_mut().start(&self.upstream, run);
+        self.run = Some(run);
+    }
+
+    /// Records how the run ended. Does nothing if it has ended already.
+    pub(crate) fn end_run(&mut self, end: RunEnd) {
+        if let Some(run) = self.run.take() {
+            let now = Instant::now();
+            self.gateway.runs.borrow_mut().end(now, &self.upstream, run, end);
+        }
+    }
+
     /// Holds the connection until the response body ends.
     pub(crate) fn hold_connection(&mut self, sender: Sender, headers: &HeaderMap) {
         self.sender = Some(sender);
@@ -99,6 +120,14 @@
             entry.load.in_flight = entry.load.in_flight.saturating_sub(1);
             entry.health.cancel();
         }
+        if let Some(run) = self.run {
+            self.end_run(RunEnd::Abandoned);
+            let is_silent = run.sent.elapsed() >= SILENCE_MIN
+                && !self.gateway.runs.borrow().has_responded_since(&self.upstream, run.sent);
+            if is_silent {
+                request_check(&self.gateway, &self.upstream);
+            }
+        }
     }
 }
 
@@ -126,10 +155,14 @@
                 if matches!(frame, Poll::Ready(None))
                     || (matches!(frame, Poll::Ready(Some(Ok(_)))) && body.is_end_stream())
                 {
+                    record_heard(&guard.gateway, Instant::now(), &guard.upstream);
+                    guard.end_run(RunEnd::Complete);
                     guard.return_connection();
                 }
                 if let Poll::Ready(Some(Err(error))) = &frame {
                     guard.log_broken_body(error);
+                    guard.end_run(RunEnd::Broken);
+                    request_check(&guard.gateway, &guard.upstream);
                 }
                 frame
             }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,16 +8,17 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
 use http_body::Body;
 use hyper::body::Incoming;
-use slog::{info, warn};
-use tokio::time::{Instant, sleep_until};
+use slog::warn;
+use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
 use super::connections::Sender;
+use super::crashes::{record_heard, request_check};
 use super::peers::Message;
 use super::request::{BufferedBody, RequestContext};
 use super::state::Gateway;
 use crate::catalog::Idempotency;
-use crate::fleet::Outcome;
+use crate::fleet::{Outcome, RunEnd};
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE, read_load};
 use crate::types::{Reason, UpstreamName, Verdict};
 
@@ -26,6 +27,10 @@
 /// Time within which a terminated upstream may restart under its name without having announced the
 /// restart.
 const RESTART_WINDOW: Duration = Duration::from_secs(1);
+/// Smallest time without a response after which an upstream may have ended.
+pub(super) const SILENCE_MIN: Duration = Duration::from_millis(500);
+/// The same as a multiple of the route's typical latency.
+const SILENCE_FACTOR: u32 = 3;
 
 /// Why an attempt failed, and whether the upstream may have run the request.
 pub(super) struct Failure {
@@ -52,7 +57,7 @@
         .map_or(1.0, |u| u.load.queue_factor(started));
     let mut guard = AttemptGuard::start(gateway, upstream, &ctx.id);
     ctx.is_attempting = true;
-    let sent = connect_and_send(gateway, ctx, upstream, started).await;
+    let sent = connect_and_send(gateway, ctx, &mut guard, started).await;
     ctx.is_attempting = false;
     let Some((sender, response)) = sent else {
         ctx.unreachable.push(upstream.clone());
@@ -70,19 +75,20 @@
 async fn connect_and_send(
     gateway: &Gateway,
     ctx: &RequestContext,
-    upstream: &UpstreamName,
+    guard: &mut AttemptGuard,
     now: Instant,
 ) -> Option<(Sender, Result<Response<Incoming>, Failure>)> {
+    let upstream = &guard.upstream.clone();
     let address = gateway.fleet.borrow().get(upstream).map(|u| u.announcement.address)?;
     let is_non_idempotent = ctx.route.idempotency == Idempotency::NonIdempotent;
     if let Some(mut sender) = gateway.connections.take_idle(now, upstream, address, is_non_idempotent)
-        && let Some(result) = send(gateway, ctx, upstream, &mut sender).await
+        && let Some(result) = send(gateway, ctx, guard, &mut sender).await
     {
         return Some((sender, result));
     }
     match gateway.connections.open(upstream, address, CONNECT_TIMEOUT).await {
         Ok(mut sender) => {
-            let sent = send(gateway, ctx, upstream, &mut sender).await;
+            let sent = send(gateway, ctx, guard, &mut sender).await;
             if sent.is_none() {
                 record_unreachable(gateway, upstream, "connection closed before the request was sent");
             }
@@ -112,23 +118,11 @@
 
 fn record_unreachable(gateway: &Gateway, upstream: &UpstreamName, error: &str) {
     record_outcome(gateway, upstream, Outcome::Unreachable);
-    let suspected = gateway
-        .suspects
-        .borrow_mut()
-        .record_unreachable(Instant::now(), upstream);
-    for (request, crashes) in &suspected {
-        gateway.metrics.count_crash();
-        warn!(gateway.log, "request may have crashed an upstream"; "upstream" => %upstream, "fingerprint" => %request,
-            "crashes" => crashes);
-    }
-    if !suspected.is_empty() {
-        let requests = suspected.into_iter().map(|(request, _)| request).collect();
-        gateway.outbox.send(Message::Crashes(requests));
-    }
+    request_check(gateway, upstream);
     warn!(gateway.log, "upstream unreachable"; "upstream" => %upstream, "error" => error);
 }
 
-fn record_outcome(gateway: &Gateway, upstream: &UpstreamName, outcome: Outcome) {
+pub(super) fn record_outcome(gateway: &Gateway, upstream: &UpstreamName, outcome: Outcome) {
     let now = Instant::now();
     let mut fleet = gateway.fleet.borrow_mut();
     if fleet.get_mut(upstream).is_some_and(|u| u.health.record(now, outcome)) {
@@ -139,28 +133,38 @@
 /// Result of sending a request; `None` if nothing was sent.
 type SendResult = Option<Result<Response<Incoming>, Failure>>;
 
-async fn send(gateway: &Gateway, ctx: &RequestContext, upstream: &UpstreamName, sender: &mut Sender) -> SendResult {
+async fn send(gateway: &Gateway, ctx: &RequestContext, guard: &mut AttemptGuard, sender: &mut Sender) -> SendResult {
     let now = Instant::now();
+    let upstream = &guard.upstream.clone();
     let request = build_request(ctx, upstream, now);
-    let response = async {
-        tokio::select! {
-            biased;
-            response = sender.try_send_request(request) => Some(response),
-            () = sleep_until(ctx.deadline) => None,
+    guard.start_run(now, ctx.fingerprint);
+    let response = sender.try_send_request(request);
+    tokio::pin!(response);
+    let silence_end = now + silence_limit(gateway, ctx);
+    let mut result = timeout_at(silence_end.min(ctx.deadline), &mut response).await.ok();
+    if result.is_none() && silence_end < ctx.deadline {
+        if !gateway.runs.borrow().has_responded_since(upstream, now) {
+            request_check(gateway, upstream);
         }
-    };
-    match response.await {
+        result = timeout_at(ctx.deadline, response).await.ok();
+    }
+    match result {
         Some(Ok(response)) => Some(Ok(response)),
-        Some(Err(error)) if error.message().is_some() => None,
+        Some(Err(error)) if error.message().is_some() => {
+            guard.end_run(RunEnd::NotRun);
+            None
+        }
         Some(Err(error)) => {
             let error = error.into_error();
             record_outcome(gateway, upstream, Outcome::Failed);
             warn!(gateway.log, "attempt failed"; "request" => ctx.id.to_str().unwrap_or_default(),
                 "upstream" => %upstream, "error" => %error, "fingerprint" => %ctx.fingerprint);
-            gateway
-                .suspects
-                .borrow_mut()
-                .record_broken_connection(now, upstream, ctx.fingerprint);
+            // A connection that timed out has been silent; it doesn't show when the upstream ended.
+            let is_silent = std::error::Error::source(&error)
+                .and_then(|source| source.downcast_ref::<std::io::Error>())
+                .is_some_and(|source| source.kind() == ErrorKind::TimedOut);
+            guard.end_run(if is_silent { RunEnd::Abandoned } else { RunEnd::Broken });
+            request_check(gateway, upstream);
             let reason = if error.is_parse() {
                 Reason::BadResponse
             } else {
@@ -172,11 +176,18 @@
             record_outcome(gateway, upstream, Outcome::Failed);
             warn!(gateway.log, "attempt timed out"; "request" => ctx.id.to_str().unwrap_or_default(),
                 "upstream" => %upstream, "fingerprint" => %ctx.fingerprint);
+            guard.end_run(RunEnd::Abandoned);
+            request_check(gateway, upstream);
             Some(Err(failure(Reason::DeadlineExceeded, Verdict::MayHaveRun)))
         }
     }
 }
 
+/// Returns the time after which an upstream without a response may have ended.
+fn silence_limit(gateway: &Gateway, ctx: &RequestContext) -> Duration {
+    (gateway.typical_latency(&ctx.route) * SILENCE_FACTOR).max(SILENCE_MIN)
+}
+
 fn failure(reason: Reason, verdict: Verdict) -> Failure {
     Failure {
         reason,
@@ -214,7 +225,10 @@
     let now = Instant::now();
     let headers = response.headers();
     let report = read_load(headers);
+    record_heard(gateway, now, &upstream);
     if headers.get(REQUEST_ID) != Some(&ctx.id) {
+        guard.end_run(RunEnd::Broken);
+        request_check(gateway, &upstream);
         record_outcome(gateway, &upstream, Outcome::Failed);
         warn!(gateway.log, "answer of another request"; "request" => ctx.id.to_str().unwrap_or_default(),
             "upstream" => %upstream, "status" => response.status().as_u16());
@@ -226,6 +240,7 @@
         entry.load.record_load(now, report);
     }
     if is_not_executed {
+        guard.end_run(RunEnd::NotRun);
         if response.body().is_end_stream() {
             guard.return_connection();
         }
@@ -244,14 +259,16 @@
     let is_intact =
         !status.is_success() || (headers.contains_key(SIGNATURE) && !headers.contains_key(CONTENT_ENCODING));
     if !is_intact || status.is_informational() {
+        guard.end_run(RunEnd::Broken);
+        request_check(gateway, &upstream);
         record_outcome(gateway, &upstream, Outcome::Failed);
         return Err(failure(Reason::BadResponse, Verdict::MayHaveRun));
     }
-    if gateway.suspects.borrow_mut().record_response(ctx.fingerprint) {
-        info!(gateway.log, "request no longer suspected of crashes"; "upstream" => %upstream,
-            "fingerprint" => %ctx.fingerprint);
-    }
     let is_server_error = status.is_server_error();
+    if is_server_error {
+        // The body of a failure may be dropped before it is complete.
+        guard.end_run(RunEnd::Complete);
+    }
     record_outcome(
         gateway,
         &upstream,
@@ -287,6 +304,7 @@
     strip_hop_by_hop_headers(&mut head.headers);
     head.version = Version::HTTP_11;
     if body.is_end_stream() {
+        guard.end_run(RunEnd::Complete);
         guard.return_connection();
     }
     let has_body = ctx.head.method != Method::HEAD && !body.is_end_stream();
--- /dev/null
+++ b/src/gateway/crashes.rs
@@ -0,0 +1,267 @@
+//! Finds out whether upstreams have ended while they ran requests, and shares the suspects among the hosts.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, Response};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::attempt::record_outcome;
+use super::connect::{CallError, Endpoint};
+use super::peers::Message;
+use super::state::Gateway;
+use crate::fleet::{Crash, CrashReport, Fingerprint, Outcome};
+use crate::platform::{INSTANCE, read_cold};
+use crate::types::{HostName, UpstreamName};
+
+/// Delay of a check, in which an upstream that is ending closes its sockets.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Timeout for opening the connection of a check.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a check. Upstreams respond on their health path at once.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+/// Smallest time between the ends of a check of an upstream and the start of the next one.
+const CHECK_GAP: Duration = Duration::from_secs(1);
+/// Delays before reports are sent: more than once, as datagrams are lost at times.
+const REPORT_DELAYS: [Duration; 3] = [Duration::ZERO, Duration::from_millis(300), Duration::from_secs(1)];
+/// Most reports in one message, which keeps it below the limit on messages to all hosts.
+const MESSAGE_REPORTS_MAX: usize = 20;
+
+/// Upstreams to check, and reports to send.
+#[derive(Debug, Default)]
+pub(crate) struct CrashWatch {
+    queue: RefCell<BTreeSet<UpstreamName>>,
+    queued: Notify,
+    /// Upstreams that are being checked.
+    checking: RefCell<BTreeSet<UpstreamName>>,
+    reports_due: Notify,
+}
+
+impl CrashWatch {
+    /// Sends this host's reports to all hosts, for instance because a new one doesn't have them.
+    pub(crate) fn send_reports(&self) {
+        self.reports_due.notify_one();
+    }
+}
+
+/// A report of one request on its way to another host. Times are ages in microseconds when it was sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WireReport {
+    request: Fingerprint,
+    crashes: Vec<WireCrash>,
+    served: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct WireCrash {
+    upstream: UpstreamName,
+    heard: Option<u64>,
+    sent: u64,
+    ended: u64,
+    noticed: u64,
+}
+
+fn age_micros(now: Instant, at: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(at).as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time of an age; `None` if the clock can't represent it.
+fn time_of_age(now: Instant, micros: u64) -> Option<Instant> {
+    now.checked_sub(Duration::from_micros(micros))
+}
+
+/// Starts the tasks that check upstreams and send reports.
+pub(crate) fn start_crash_watch(gateway: &Rc<Gateway>) {
+    spawn_local(run_checks(Rc::clone(gateway)));
+    spawn_local(run_reports(Rc::clone(gateway)));
+}
+
+/// Requests a check of an upstream that may have ended, if requests ran there that may be the cause.
+pub(crate) fn request_check(gateway: &Gateway, upstream: &UpstreamName) {
+    if gateway.runs.borrow().has_suspects(upstream) {
+        gateway.crash_watch.queue.borrow_mut().insert(upstream.clone());
+        gateway.crash_watch.queued.notify_one();
+    }
+}
+
+/// Records that an upstream has responded.
+pub(crate) fn record_heard(gateway: &Gateway, now: Instant, upstream: &UpstreamName) {
+    let survived = gateway.runs.borrow_mut().record_heard(now, upstream);
+    for (request, at) in survived {
+        if gateway.suspects.borrow_mut().record_served(request, at) {
+            info!(gateway.log, "request no longer suspected of crashes"; "upstream" => %upstream,
+                "fingerprint" => %request);
+            gateway.crash_watch.send_reports();
+        }
+    }
+}
+
+/// Records that an upstream has ended, which makes suspects of the requests that ran there.
+pub(crate) fn record_end(gateway: &Gateway, now: Instant, upstream: &UpstreamName, evidence: &str) {
+    let crashes = gateway.runs.borrow_mut().record_end(now, upstream);
+    if crashes.is_empty() {
+        return;
+    }
+    for (request, crash) in crashes {
+        let own = &gateway.settings.host;
+        let count = gateway.suspects.borrow_mut().record_crash(now, own, request, crash);
+        gateway.metrics.count_crash();
+        warn!(gateway.log, "request may have crashed an upstream"; "upstream" => %upstream, "fingerprint" => %request,
+            "crashes" => count, "evidence" => evidence);
+    }
+    gateway.crash_watch.send_reports();
+}
+
+async fn run_checks(gateway: Rc<Gateway>) {
+    loop {
+        gateway.crash_watch.queued.notified().await;
+        let queue = std::mem::take(&mut *gateway.crash_watch.queue.borrow_mut());
+        for upstream in queue {
+            if gateway.crash_watch.checking.borrow_mut().insert(upstream.clone()) {
+                spawn_local(check_upstream(Rc::clone(&gateway), upstream));
+            }
+        }
+    }
+}
+
+async fn check_upstream(gateway: Rc<Gateway>, upstream: UpstreamName) {
+    let started = Instant::now();
+    sleep(CHECK_DELAY).await;
+    let response = call_health_path(&gateway, &upstream).await;
+    let now = Instant::now();
+    match find_end(&gateway, &upstream, started, response.as_ref()) {
+        Some(evidence) => {
+            record_outcome(&gateway, &upstream, Outcome::Unreachable);
+            record_end(&gateway, now, &upstream, evidence);
+        }
+        None if matches!(response, Some(Ok(_))) => record_heard(&gateway, now, &upstream),
+        None => {}
+    }
+    sleep(CHECK_GAP).await;
+    gateway.crash_watch.checking.borrow_mut().remove(&upstream);
+}
+
+type CheckResult = Result<Response<Bytes>, CallError>;
+
+/// Calls the health path over a new connection; `None` if the upstream is no longer known.
+async fn call_health_path(gateway: &Gateway, upstream: &UpstreamName) -> Option<CheckResult> {
+    let (address, pool) = {
+        let fleet = gateway.fleet.borrow();
+        let announcement = &fleet.get(upstream)?.announcement;
+        (announcement.address, announcement.pool.clone())
+    };
+    let catalog = gateway.catalog.borrow().clone()?;
+    let path = &catalog.pools.get(&pool)?.health_path;
+    let request = Request::get(path).header(HOST, "upstream").body(Full::default()).ok()?;
+    Some(
+        Endpoint::new(address, CONNECT_TIMEOUT)
+            .call(request, CHECK_TIMEOUT)
+            .await,
+    )
+}
+
+/// Returns the evidence that an upstream has ended, if there is any. `started` is when this was suspected.
+fn find_end(
+    gateway: &Gateway,
+    upstream: &UpstreamName,
+    started: Instant,
+    response: Option<&CheckResult>,
+) -> Option<&'static str> {
+    match response {
+        None => Some("entry gone"),
+        Some(Ok(response)) => {
+            let instance = response.headers().get(INSTANCE);
+            if instance.is_some_and(|name| name.as_bytes() != upstream.as_str().as_bytes()) {
+                return Some("another instance at its address");
+            }
+            let is_known_cold = gateway.fleet.borrow().get(upstream).is_some_and(|u| u.is_cold(started));
+            let is_new = !is_known_cold && !read_cold(response.headers()).is_zero();
+            is_new.then_some("cold again")
+        }
+        // An upstream may also refuse new connections because it has too many.
+        Some(Err(_)) if gateway.runs.borrow().has_responded_since(upstream, started) => None,
+        Some(Err(CallError::Refused)) => Some("connection refused"),
+        Some(Err(_)) => Some("no response on its health path"),
+    }
+}
+
+/// Sends this host's reports whenever they have changed.
+async fn run_reports(gateway: Rc<Gateway>) {
+    loop {
+        gateway.crash_watch.reports_due.notified().await;
+        let mut delays = REPORT_DELAYS.iter();
+        while let Some(&delay) = delays.next() {
+            if timeout(delay, gateway.crash_watch.reports_due.notified()).await.is_ok() {
+                delays = REPORT_DELAYS.iter();
+                continue;
+            }
+            send_own_reports(&gateway);
+        }
+    }
+}
+
+fn send_own_reports(gateway: &Gateway) {
+    let now = Instant::now();
+    let own = &gateway.settings.host;
+    let wire = |(request, report): (Fingerprint, CrashReport)| WireReport {
+        request,
+        crashes: report
+            .crashes
+            .iter()
+            .map(|crash| WireCrash {
+                upstream: crash.upstream.clone(),
+                heard: crash.heard.map(|at| age_micros(now, at)),
+                sent: age_micros(now, crash.sent),
+                ended: age_micros(now, crash.ended),
+                noticed: age_micros(now, crash.noticed),
+            })
+            .collect(),
+        served: report.served.map(|at| age_micros(now, at)),
+    };
+    let reports: Vec<_> = gateway
+        .suspects
+        .borrow()
+        .own_reports(own)
+        .into_iter()
+        .map(wire)
+        .collect();
+    for part in reports.chunks(MESSAGE_REPORTS_MAX) {
+        gateway.outbox.send(Message::CrashReports {
+            host: own.clone(),
+            reports: part.to_vec(),
+        });
+    }
+}
+
+/// Applies the reports of another host.
+pub(super) fn apply_reports(gateway: &Gateway, host: &HostName, reports: &[WireReport]) {
+    let now = Instant::now();
+    for wire in reports {
+        let crash = |crash: &WireCrash| {
+            Some(Crash {
+                upstream: crash.upstream.clone(),
+                heard: crash.heard.and_then(|micros| time_of_age(now, micros)),
+                sent: time_of_age(now, crash.sent)?,
+                ended: time_of_age(now, crash.ended)?,
+                noticed: time_of_age(now, crash.noticed)?,
+            })
+        };
+        let report = CrashReport {
+            crashes: wire.crashes.iter().filter_map(crash).collect(),
+            served: wire.served.and_then(|micros| time_of_age(now, micros)),
+        };
+        let mut suspects = gateway.suspects.borrow_mut();
+        let count = suspects.apply_report(now, host, wire.request, report);
+        info!(gateway.log, "crash reported by another host"; "reporter" => %host, "fingerprint" => %wire.request,
+            "crashes" => count);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod connect;
 mod connections;
 mod counting;
+mod crashes;
 mod election;
 mod feed;
 mod framing;
@@ -55,6 +56,7 @@
     let listeners = callers::listen(&gateway).await?;
     watch::start_watches(&gateway);
     peers::start_peers(&gateway).await?;
+    crashes::start_crash_watch(&gateway);
     grants::start_grants(&gateway);
     counting::start_saving(&gateway);
     callers::start_callers(&gateway, listeners);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use super::crashes::{WireReport, apply_reports};
 use super::feed::{apply_deltas, readers};
 use super::grants::record_counts;
 use super::orders::record_cold;
@@ -52,8 +53,9 @@
 ///
 /// - The grantor repeats `StepDown` and `ConfirmRequest` in rounds, and hosts respond again.
 /// - The store has what `OwnersChanged`, `Refresh` and `Relay` are about; hosts that miss one read the store.
-/// - `Counts`, `Crashes`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
-///   grantor's request rates are too low for a time. Without `Crashes`, the receiver doesn't count them.
+/// - `CrashReports` are sent several times; each has all that the host has seen.
+/// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
+///   grantor's request rates are too low for a time.
 ///   Without `Cold`, the receiver may not know that the upstream is cold before the upstream announces it.
 ///   Without `Suspect`, the sender may treat the upstream as cold for the whole time that it assumed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -74,8 +76,10 @@
         epoch: u64,
         requested_ms: u64,
     },
-    /// Requests that may have crashed upstreams.
+    /// Requests that may have crashed upstreams. Only builds without [`Message::CrashReports`] send it.
     Crashes(Vec<Fingerprint>),
+    /// Requests that may have crashed upstreams, with all crashes that a host has seen of each.
+    CrashReports { host: HostName, reports: Vec<WireReport> },
     /// An upstream may have restarted: readers are to relay its next announcement even if it is unchanged.
     Suspect(UpstreamName),
     /// An upstream is cold and may not have announced it yet.
@@ -169,12 +173,10 @@
                 requested_ms,
             }) => record_confirmation(&gateway, incarnation, epoch, requested_ms),
             Ok(Message::Crashes(requests)) => {
-                let mut suspects = gateway.suspects.borrow_mut();
-                for request in requests {
-                    let crashes = suspects.record_crash(Instant::now(), request);
-                    info!(gateway.log, "crash reported by another host"; "fingerprint" => %request, "crashes" => crashes);
-                }
+                info!(gateway.log, "crash report of an older build ignored; it doesn't name the upstream";
+                    "requests" => requests.len());
             }
+            Ok(Message::CrashReports { host, reports }) => apply_reports(&gateway, &host, &reports),
             Ok(Message::Cold { upstream, millis }) => record_cold(&gateway, &upstream, Duration::from_millis(millis)),
             Ok(Message::Suspect(upstream)) => {
                 gateway
@@ -262,8 +264,8 @@
 
 /// Returns a short message in place of one that is too large.
 ///
-/// Receivers read omitted records and key owners from the store. `Crashes` isn't in the store, so its content
-/// is lost if it is too large.
+/// Receivers read omitted records and key owners from the store. `CrashReports` isn't in the store, so it is split
+/// before it is too large.
 fn shrink(message: Message) -> Message {
     match message {
         Message::Relay(deltas) => Message::Relay(deltas.into_iter().map(TopicDelta::without_updates).collect()),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -209,12 +209,8 @@
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let bytes = body.0.as_deref().unwrap_or_default();
     let fingerprint = Fingerprint::of(head.method.as_str(), path, bytes);
-    if gateway.suspects.borrow().is_blocked(arrived, fingerprint) {
-        return Err(Refusal {
-            reason: Reason::SuspectBlocked,
-            verdict: Verdict::MayHaveRun,
-            retry_after: None,
-        });
+    if gateway.suspects.borrow().is_blocked(fingerprint) {
+        return Err(refuse_suspect());
     }
     gateway.record_request(arrived, &pool);
     if let Some(key) = key {
@@ -272,6 +268,10 @@
 async fn run_attempts(gateway: &Rc<Gateway>, ctx: &mut RequestContext) -> Result<Response<ResponseBody>, Refusal> {
     loop {
         let upstream = choose_upstream(gateway, ctx).await?;
+        // The request may have become blocked since it arrived.
+        if gateway.suspects.borrow().is_blocked(ctx.fingerprint) {
+            return Err(refuse_suspect());
+        }
         let failure = match attempt_once(gateway, ctx, &upstream).await {
             None => continue,
             Some(Ok(response)) => return Ok(response),
@@ -308,7 +308,21 @@
     }
     let is_allowed = ctx.verdict == Verdict::NotRun || ctx.route.idempotency.is_retryable();
     let sent = u32::try_from(ctx.tried.len()).unwrap_or(u32::MAX);
-    is_allowed && sent < ctx.route.attempts && now < ctx.deadline && gateway.try_take_retry(now, &ctx.pool)
+    let is_suspect = !gateway.suspects.borrow().may_retry(ctx.fingerprint);
+    is_allowed
+        && !is_suspect
+        && sent < ctx.route.attempts
+        && now < ctx.deadline
+        && gateway.try_take_retry(now, &ctx.pool)
+}
+
+/// Builds the refusal of a request that crashes upstreams. Callers are not told to come back.
+fn refuse_suspect() -> Refusal {
+    Refusal {
+        reason: Reason::SuspectBlocked,
+        verdict: Verdict::MayHaveRun,
+        retry_after: None,
+    }
 }
 
 /// Builds the refusal of a request that no upstream can take now; a `Retry-After` is only given if
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,13 +15,14 @@
 
 use super::connections::Connections;
 use super::counting::unix_time;
+use super::crashes::CrashWatch;
 use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
 use crate::budget::{ColdLimiter, ColdQuota, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
-use crate::fleet::{Fleet, Suspects, Upstream};
+use crate::fleet::{Fleet, Runs, Suspects, Upstream};
 use crate::keys::{HostIncarnation, KeyTable};
 use crate::platform::{Bounds, Store};
 use crate::relay::Topic;
@@ -94,7 +95,9 @@
     /// Requests by pool and key since the last message to the grantor.
     pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
     pub(crate) grants: Grants,
+    pub(crate) runs: RefCell<Runs>,
     pub(crate) suspects: RefCell<Suspects>,
+    pub(crate) crash_watch: CrashWatch,
     pub(crate) outbox: Outbox,
     pub(crate) counts: RefCell<ProcessCounts>,
     pub(crate) counts_changed: Cell<bool>,
@@ -139,7 +142,9 @@
             route_stats: RefCell::default(),
             key_counts: RefCell::default(),
             grants: Grants::default(),
+            runs: RefCell::default(),
             suspects: RefCell::default(),
+            crash_watch: CrashWatch::default(),
             outbox: Outbox::default(),
             counts: RefCell::default(),
             counts_changed: Cell::new(false),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -8,6 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use super::crashes::{record_end, request_check};
 use super::feed::follow_topics;
 use super::state::{Gateway, Presence};
 use crate::catalog::CatalogVersion;
@@ -123,6 +124,7 @@
         let name = record.key.parse().ok()?;
         info!(gateway.log, "upstream entry gone"; "upstream" => %name, "offset" => record.offset.0);
         fleet.remove(now, &name);
+        request_check(gateway, &name);
         return Some(Update::Record(record.clone()));
     };
     match decode_server(&record.key, text) {
@@ -133,7 +135,13 @@
                 announcement.incarnation,
             );
             let cold_ms = u64::try_from(announcement.cold_left.as_millis()).unwrap_or(u64::MAX);
+            let is_restart = fleet
+                .get(&name)
+                .is_some_and(|u| u.announcement.incarnation < incarnation);
             let change = fleet.announce(now, announcement);
+            if is_restart {
+                record_end(gateway, now, &name, "new incarnation");
+            }
             if !matches!(change, Change::Joined | Change::Updated) {
                 return None;
             }
@@ -175,7 +183,10 @@
         }
         Some(text) => match serde_json::from_slice::<Presence>(text) {
             Ok(presence) => {
-                hosts.insert(host, presence);
+                if hosts.insert(host, presence.clone()).as_ref() != Some(&presence) {
+                    // A new process doesn't know the suspects yet.
+                    gateway.crash_watch.send_reports();
+                }
             }
             Err(error) => warn!(gateway.log, "host entry can't be decoded; the previous one stays";
                 "key" => &record.key, "error" => %error),
@@ -243,5 +254,7 @@
             info!(gateway.log, "upstream removed: not announced again after the store outage"; "upstream" => %name);
         }
         gateway.connections.sweep(now);
+        gateway.runs.borrow_mut().sweep(now);
+        gateway.suspects.borrow_mut().sweep(now);
     }
 }
--- a/standins/tests/gateway/crashes.rs
+++ b/standins/tests/gateway/crashes.rs
@@ -109,6 +109,7 @@
         .find(|(_, server)| crashed.insert(server) && crashed.len() == 3);
     let (third, _) = third.expect("three servers crash");
     let late: Vec<_> = arrivals.iter().filter(|(at, _)| *at > third + STABLE_MS).collect();
+    println!("{mode}: {} arrivals, {} late", arrivals.len(), late.len());
     assert!(
         late.len() <= LATE_MAX,
         "{mode}: {} arrivals, {} too late: {late:?}",
