Don't block a frequent request for good because all its upstreams ended

What callers would have seen: while all upstreams of a pool ended within half a second, each of its frequent requests ran at several of them. Nobody was left to serve and so to clear it, and it was refused for 10 minutes although the upstreams were back.

Cause: a clear response only outdated crashes of requests that were sent before it.

Change: a crash doesn't count in the 3 s after a complete response, and one host, chosen by a hash of its name and the request, sends a blocked request again 5 s and 30 s after the last crash, to see whether it is served.

Ruled out: no blocking at all while a pool has no upstream (a poisonous request can be the cause of just that).

Tests: frequent_request_is_not_blocked_when_all_upstreams_end fails without the grace time; one_host_tries_blocked_request_twice.

--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -3,7 +3,9 @@
 //! A request that ran when an upstream ended is a suspect. It is blocked after three crashes, of which each
 //! request was sent after the crash before: requests that run at several upstreams when these end at the same
 //! time, as when a zone loses power, are not the cause. A complete response of an upstream that goes on running
-//! clears the suspicion, so a frequent request that merely ran during crashes is never blocked.
+//! clears the suspicion, also for a short time to come, so a frequent request that merely ran during crashes
+//! isn't blocked. If all upstreams of a pool end within a longer time, a frequent request may still be blocked;
+//! so one host sends a blocked request again, twice at most, to see whether it is served.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::types::{HostName, UpstreamName};
 
@@ -25,8 +27,12 @@
 const SUSPECTS_MAX: usize = 4_096;
 /// Limit on the crashes of one request that are kept for each host that saw them.
 const CRASHES_MAX: usize = 8;
+/// Time after a complete response in which crashes don't count.
+const SERVED_GRACE: Duration = Duration::from_secs(3);
 /// Time for which a complete response is kept. Crashes are noticed and reported within it.
-const SERVED_EXPIRY: Duration = Duration::from_secs(6);
+const SERVED_EXPIRY: Duration = Duration::from_secs(9);
+/// Times after the last crash at which one host sends a blocked request again.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
 /// Limit on the complete responses that are kept.
 const SERVED_MAX: usize = 65_536;
 
@@ -79,8 +85,10 @@
 struct Suspect {
     /// Crashes by the host that saw them.
     crashes: BTreeMap<HostName, Vec<Crash>>,
-    /// Latest complete response; only crashes of requests that were sent later count.
+    /// Latest complete response.
     served: Option<Instant>,
+    /// How often this host has sent the request although it is blocked.
+    trials: usize,
     changed: Instant,
 }
 
@@ -103,20 +111,28 @@
         counted.len()
     }
 
-    /// Drops the crashes of requests that were sent before the latest complete response.
+    /// Drops the crashes that the latest complete response outdates.
     fn apply_served(&mut self) {
         if let Some(served) = self.served {
             for crashes in self.crashes.values_mut() {
-                crashes.retain(|crash| crash.sent > served);
+                crashes.retain(|crash| crash.sent > served + SERVED_GRACE);
             }
         }
     }
+
+    fn is_trial_due(&self, now: Instant) -> bool {
+        let last_crash = self.crashes.values().flatten().map(|crash| crash.noticed).max();
+        let delay = TRIAL_DELAYS.get(self.trials);
+        last_crash
+            .zip(delay)
+            .is_some_and(|(last_crash, &delay)| now >= last_crash + delay)
+    }
 }
 
 /// Requests that are suspected of crashes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspects {
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    entries: BTreeMap<Fingerprint, Suspect>,
     /// Recent complete responses.
     served: BTreeMap<Fingerprint, Instant>,
 }
@@ -155,12 +171,13 @@
 
     /// Returns the suspect of a request, which is added unless there are too many.
     fn suspect_mut(&mut self, now: Instant, request: Fingerprint) -> Option<&mut Suspect> {
-        if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&request) {
+        if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&request) {
             return None;
         }
-        let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
+        let suspect = self.entries.entry(request).or_insert_with(|| Suspect {
             crashes: BTreeMap::new(),
             served: self.served.get(&request).copied(),
+            trials: 0,
             changed: now,
         });
         suspect.changed = now;
@@ -173,7 +190,7 @@
         if self.served.len() < SERVED_MAX {
             self.served.insert(request, at);
         }
-        let Some(suspect) = self.suspects.get_mut(&request) else {
+        let Some(suspect) = self.entries.get_mut(&request) else {
             return false;
         };
         let before = suspect.count_crashes();
@@ -184,7 +201,7 @@
 
     /// Returns what this host has seen of all suspects, for the other hosts.
     pub(crate) fn own_reports(&self, own: &HostName) -> Vec<(Fingerprint, CrashReport)> {
-        let reports = self.suspects.iter().filter_map(|(&request, suspect)| {
+        let reports = self.entries.iter().filter_map(|(&request, suspect)| {
             let crashes = suspect.crashes.get(own)?;
             let report = CrashReport {
                 crashes: crashes.clone(),
@@ -196,21 +213,43 @@
     }
 
     fn count_crashes(&self, request: Fingerprint) -> usize {
-        self.suspects.get(&request).map_or(0, Suspect::count_crashes)
+        self.entries.get(&request).map_or(0, Suspect::count_crashes)
     }
 
     pub(crate) fn is_blocked(&self, request: Fingerprint) -> bool {
         self.count_crashes(request) >= BLOCKING_CRASHES
     }
 
+    /// Reports whether a blocked request may be sent again now by this host, one of `hosts`. All hosts that know
+    /// the same list of hosts let the same one try.
+    pub(crate) fn is_trial_due<'a>(
+        &self,
+        now: Instant,
+        own: &HostName,
+        hosts: impl Iterator<Item = &'a HostName>,
+        request: Fingerprint,
+    ) -> bool {
+        let score = |host: &HostName| xxh3_64(format!("{host} {request}").as_bytes());
+        let is_due = self
+            .entries
+            .get(&request)
+            .is_some_and(|suspect| suspect.is_trial_due(now));
+        is_due && hosts.map(score).min().is_none_or(|least| score(own) <= least)
+    }
+
+    pub(crate) fn record_trial(&mut self, request: Fingerprint) {
+        if let Some(suspect) = self.entries.get_mut(&request) {
+            suspect.trials += 1;
+        }
+    }
+
     pub(crate) fn may_retry(&self, request: Fingerprint) -> bool {
         self.count_crashes(request) < NO_RETRY_CRASHES
     }
 
     /// Removes what is too old to matter.
     pub(crate) fn sweep(&mut self, now: Instant) {
-        self.suspects
-            .retain(|_, suspect| now < suspect.changed + SUSPECT_EXPIRY);
+        self.entries.retain(|_, suspect| now < suspect.changed + SUSPECT_EXPIRY);
         self.served.retain(|_, at| now < *at + SERVED_EXPIRY);
     }
 }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -390,6 +390,64 @@
     assert!(view.suspects.is_blocked(poisonous()));
 }
 
+/// Guards against blocking a frequent request because all upstreams of its pool end one after the other: none
+/// is left that could serve it and so clear the suspicion (soak, seed 1002).
+#[test]
+fn frequent_request_is_not_blocked_when_all_upstreams_end() {
+    let start = Instant::now();
+    let request = Fingerprint::of("POST", "/renovaciones/1", b"");
+    let mut view = CrashView::default();
+    let upstreams: Vec<UpstreamName> = (0..3).map(|number| name(&format!("u{number}"))).collect();
+    for round in 0..10 {
+        for upstream in &upstreams {
+            let sent = start + ms(100 * round);
+            view.hear(sent + ms(20), upstream);
+            view.run(sent, (sent + ms(20), RunEnd::Complete), upstream, request);
+        }
+    }
+    for (number, upstream) in (0..).zip(&upstreams) {
+        let sent = start + ms(1_000 + 200 * number);
+        view.run(sent, (sent + ms(10), RunEnd::Broken), upstream, request);
+    }
+    for upstream in &upstreams {
+        view.end_upstream(start + ms(2_000), upstream);
+    }
+    assert!(!view.suspects.is_blocked(request));
+}
+
+/// Guards against a blocked request that is never tried again, and against more than two trials or more than
+/// one host that tries.
+#[test]
+fn one_host_tries_blocked_request_twice() {
+    let start = Instant::now();
+    let hosts: Vec<HostName> = ["a", "b", "c"].map(|text| text.parse().expect("valid name")).into();
+    let crash = |number: u64| Crash {
+        upstream: name(&format!("u{number}")),
+        heard: None,
+        sent: start + ms(number),
+        ended: start + ms(number),
+        noticed: start + ms(number),
+    };
+    let trials = hosts.iter().map(|own| {
+        let mut suspects = Suspects::default();
+        for number in 0..3 {
+            suspects.record_crash(start, own, poisonous(), crash(number));
+        }
+        let mut trials = Vec::new();
+        for second in 0..120 {
+            let now = start + ms(1_000 * second);
+            if suspects.is_trial_due(now, own, hosts.iter(), poisonous()) {
+                suspects.record_trial(poisonous());
+                trials.push(second);
+            }
+        }
+        trials
+    });
+    let mut trials: Vec<Vec<u64>> = trials.filter(|trials| !trials.is_empty()).collect();
+    assert_eq!(trials.pop(), Some(vec![6, 31]));
+    assert!(trials.is_empty());
+}
+
 /// Guards against reports of other hosts that count twice when they are sent again, that are lost with one
 /// datagram, or that block a request which was served since.
 #[test]
@@ -418,7 +476,7 @@
     assert!(suspects.is_blocked(poisonous()));
     let served = CrashReport {
         crashes: vec![],
-        served: Some(start + ms(1_000)),
+        served: Some(start + ms(1_500)),
     };
     suspects.apply_report(now, &host("c"), poisonous(), served);
     assert!(!suspects.is_blocked(poisonous()));
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -209,7 +209,7 @@
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let bytes = body.0.as_deref().unwrap_or_default();
     let fingerprint = Fingerprint::of(head.method.as_str(), path, bytes);
-    if gateway.suspects.borrow().is_blocked(fingerprint) {
+    if is_refused(gateway, fingerprint) {
         return Err(refuse_suspect());
     }
     gateway.record_request(arrived, &pool);
@@ -270,7 +270,12 @@
         let upstream = choose_upstream(gateway, ctx).await?;
         // The request may have become blocked since it arrived.
         if gateway.suspects.borrow().is_blocked(ctx.fingerprint) {
-            return Err(refuse_suspect());
+            if is_refused(gateway, ctx.fingerprint) {
+                return Err(refuse_suspect());
+            }
+            gateway.suspects.borrow_mut().record_trial(ctx.fingerprint);
+            warn!(gateway.log, "blocked request sent on as a trial"; "request" => ctx.id.to_str().unwrap_or_default(),
+                "upstream" => %upstream, "fingerprint" => %ctx.fingerprint);
         }
         let failure = match attempt_once(gateway, ctx, &upstream).await {
             None => continue,
@@ -316,6 +321,14 @@
         && gateway.try_take_retry(now, &ctx.pool)
 }
 
+/// Reports whether a request is refused because it crashes upstreams.
+fn is_refused(gateway: &Gateway, request: Fingerprint) -> bool {
+    let suspects = gateway.suspects.borrow();
+    let hosts = gateway.hosts.borrow();
+    suspects.is_blocked(request)
+        && !suspects.is_trial_due(Instant::now(), &gateway.settings.host, hosts.keys(), request)
+}
+
 /// Builds the refusal of a request that crashes upstreams. Callers are not told to come back.
 fn refuse_suspect() -> Refusal {
     Refusal {
--- a/standins/src/soak/load.rs
+++ b/standins/src/soak/load.rs
@@ -80,20 +80,31 @@
     Some(client)
 }
 
-/// Sends a request. Returns the status, the body and whether the response is signed, or `None` without a
-/// complete response.
+/// Sends a request of a caller. Returns the status, the body and whether the response is signed, or `None`
+/// without a complete response.
 pub(super) async fn call(
     client: &mut Client,
     id: &str,
     non_idempotent: bool,
     key: u16,
 ) -> Option<(u16, Vec<u8>, bool)> {
-    client.ready().await.ok()?;
     let (method, path) = if non_idempotent {
         ("POST", "/renovaciones/1")
     } else {
         ("GET", "/placas/1")
     };
+    send(client, id, method, path, key).await
+}
+
+/// Sends a request; see [`call`].
+pub(super) async fn send(
+    client: &mut Client,
+    id: &str,
+    method: &str,
+    path: &str,
+    key: u16,
+) -> Option<(u16, Vec<u8>, bool)> {
+    client.ready().await.ok()?;
     let request = Request::builder()
         .method(method)
         .uri(path)
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! A randomized soak test: runs the real programs as separate processes and injects faults from outside,
 //! while the outcomes of callers' requests and the events of servers are recorded.
 
+mod crash;
 mod judge;
 mod load;
 mod proxy;
@@ -23,6 +24,7 @@
 use tokio::time::sleep;
 
 use crate::server::{EventRecord, ServerEvent, append_event, append_keyed_record};
+use crash::{CRASH_ID, check_crashes};
 use judge::{check_leases, check_requests};
 use load::{Outcomes, call, connect, run_caller};
 use proxy::{LinkFault, Proxy};
@@ -31,6 +33,8 @@
 /// There are two services: the sharded `placas` and `renovaciones`, which isn't sharded.
 const SERVERS_PER_SERVICE: usize = 3;
 const CALLER_COUNT: u64 = 12;
+/// Ways in which servers end under a request that crashes them.
+const CRASH_MODES: [&str; 5] = ["exit", "hang", "hang-refusing", "after-head", "after-response"];
 /// Time limit for all keys to be served after the start.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time limit for all keys to be served after the last fault: the longest recovery that is allowed.
@@ -117,6 +121,8 @@
     server_proxies: Vec<Proxy>,
     servers: Vec<Option<Process>>,
     pending: Vec<ScheduledRecovery>,
+    /// How servers end under a request that crashes them.
+    crash_mode: &'static str,
     /// Version of the configuration that was published last.
     version: u32,
     report: Report,
@@ -161,33 +167,41 @@
     if let Err(error) = harness.wait_until_served(RECOVERY_TIMEOUT).await {
         harness.report.violations.push(format!("after the last fault: {error}"));
     }
+    harness.send_crash_requests().await?;
     stop_tx.send_replace(true);
     for task in caller_tasks {
         task.await.map_err(|e| e.to_string())?;
     }
     let outcomes = outcomes.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let records = read_event_log(&harness.event_log)?;
+    let events = read_events(&harness.event_log)?;
+    let records = without_probes(&events);
     let mut report = std::mem::take(&mut harness.report);
     report.violations.extend(check_requests(&outcomes, &records));
     report.violations.extend(check_leases(&records));
+    report.violations.extend(check_crashes(&events));
     report.requests = outcomes.len();
     report.served = outcomes.iter().filter(|o| matches!(o.response, Some((200, _)))).count();
     Ok(report)
 }
 
-/// Reads the records of an event log in the order of their times, without those of readiness probes.
-fn read_event_log(path: &Path) -> Result<Vec<EventRecord>, String> {
+/// Reads the records of an event log in the order of their times.
+fn read_events(path: &Path) -> Result<Vec<EventRecord>, String> {
     let text = fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let records = text
         .lines()
         .map(|line| serde_json::from_str::<EventRecord>(line).map_err(|e| e.to_string()));
     let mut records = records.collect::<Result<Vec<_>, _>>()?;
     records.sort_by_key(|record| record.at);
-    // Readiness probes are left out: only requests of callers are checked.
-    records.retain(|record| !matches!(&record.event, ServerEvent::Run(id, _) if id.starts_with("check-")));
     Ok(records)
 }
 
+/// Returns the records without the runs of readiness probes and of requests that crash servers.
+fn without_probes(events: &[EventRecord]) -> Vec<EventRecord> {
+    let is_probe = |id: &str| id.starts_with("check-") || id.starts_with(CRASH_ID);
+    let is_kept = |record: &&EventRecord| !matches!(&record.event, ServerEvent::Run(id, _) if is_probe(id));
+    events.iter().filter(is_kept).cloned().collect()
+}
+
 fn program_command(name: &str) -> Result<Command, String> {
     let own_path = std::env::current_exe().map_err(|e| e.to_string())?;
     // Test executables are in `deps`, a subfolder of the folder with the programs.
@@ -249,6 +263,7 @@
             server_proxies: Vec::new(),
             servers: Vec::new(),
             pending: Vec::new(),
+            crash_mode: CRASH_MODES[usize::try_from(seed % 5).unwrap_or_default()],
             version: 0,
             report: Report::default(),
         };
@@ -286,6 +301,7 @@
         );
         let mut arguments = vec!["--name", &name, "--service", &service, "--store", &store];
         arguments.extend(["--announce", &announce, "--record", &event_log, "--work-ms", "20"]);
+        arguments.extend(["--crash", self.crash_mode]);
         if index < SERVERS_PER_SERVICE {
             arguments.push("--sharded");
         }
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -1,3 +1,4 @@
+use super::crash::check_crashes;
 use super::judge::{Outcome, check_leases, check_requests};
 use crate::server::{EventRecord, ServerEvent};
 
@@ -79,3 +80,25 @@
     let two_runs = [one_run[0].clone(), one_run[0].clone()];
     assert_eq!(check_requests(&[outcome(502, "")], &two_runs).len(), 1);
 }
+
+/// Guards against a check that misses requests which go on reaching servers after they crashed three, or that
+/// counts arrivals at a server that has ended already.
+#[test]
+fn check_crashes_reports_late_arrivals() {
+    let arrival = |at: u64, server: &str| record(at, server, ServerEvent::Run(format!("crash-{at}"), None));
+    let crashes = [
+        arrival(0, "a"),
+        arrival(500, "a"),
+        arrival(700, "b"),
+        arrival(1_400, "c"),
+    ];
+    let late = |count: u64| (0..count).map(|number| arrival(4_500 + number, "b"));
+    let records = |count| crashes.iter().cloned().chain(late(count)).collect::<Vec<_>>();
+    assert!(check_crashes(&records(3)).is_empty());
+    assert_eq!(check_crashes(&records(4)).len(), 1);
+    let two_servers = [crashes[..3].to_vec(), late(1).collect()].concat();
+    assert!(
+        check_crashes(&two_servers).is_empty(),
+        "the third crash is the last arrival"
+    );
+}
