Send the report of each suspect twice instead of all reports with each change

Cause: each change made a host send all that it knew of all suspects, three times, to all 58 hosts.

Change: a report is due twice after a change of its request; a host that joins gets those with more than one crash. Only reports that make a request suspect of more than one crash are logged.

Test: reports_are_sent_twice.

--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -29,6 +29,8 @@
 const CRASHES_MAX: usize = 8;
 /// Time after a complete response in which crashes don't count.
 const SERVED_GRACE: Duration = Duration::from_secs(3);
+/// Number of times that a report is sent: datagrams are lost at times.
+const REPORT_SENDS: u8 = 2;
 /// Time for which a complete response is kept. Crashes are noticed and reported within it.
 const SERVED_EXPIRY: Duration = Duration::from_secs(9);
 /// Times after the last crash at which one host sends a blocked request again.
@@ -135,6 +137,8 @@
     entries: BTreeMap<Fingerprint, Suspect>,
     /// Recent complete responses.
     served: BTreeMap<Fingerprint, Instant>,
+    /// How often the report of a suspect has still to be sent.
+    unsent: BTreeMap<Fingerprint, u8>,
 }
 
 impl Suspects {
@@ -149,7 +153,9 @@
         }
         crashes.push(crash);
         suspect.apply_served();
-        suspect.count_crashes()
+        let count = suspect.count_crashes();
+        self.unsent.insert(request, REPORT_SENDS);
+        count
     }
 
     /// Replaces what another host has reported of a request before. Returns the number of crashes that count.
@@ -196,20 +202,37 @@
         let before = suspect.count_crashes();
         suspect.served = suspect.served.max(Some(at));
         suspect.apply_served();
-        suspect.count_crashes() < before
-    }
-
-    /// Returns what this host has seen of all suspects, for the other hosts.
-    pub(crate) fn own_reports(&self, own: &HostName) -> Vec<(Fingerprint, CrashReport)> {
-        let reports = self.entries.iter().filter_map(|(&request, suspect)| {
-            let crashes = suspect.crashes.get(own)?;
-            let report = CrashReport {
-                crashes: crashes.clone(),
-                served: suspect.served,
-            };
-            Some((request, report))
-        });
-        reports.collect()
+        let is_cleared = suspect.count_crashes() < before;
+        if is_cleared {
+            self.unsent.insert(request, REPORT_SENDS);
+        }
+        is_cleared
+    }
+
+    pub(crate) fn has_unsent_reports(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Makes the reports of requests with more than one crash due once more, because a new host has none of them.
+    pub(crate) fn resend_reports(&mut self) {
+        let repeated = self.entries.iter().filter(|(_, suspect)| suspect.count_crashes() > 1);
+        self.unsent
+            .extend(repeated.map(|(&request, _)| (request, REPORT_SENDS)));
+    }
+
+    /// Returns the reports that are due, each of them with all that this host has seen of a request.
+    pub(crate) fn take_reports(&mut self, own: &HostName) -> Vec<(Fingerprint, CrashReport)> {
+        let mut reports = Vec::new();
+        for (&request, sends) in &mut self.unsent {
+            *sends -= 1;
+            if let Some(suspect) = self.entries.get(&request) {
+                let crashes = suspect.crashes.get(own).cloned().unwrap_or_default();
+                let served = suspect.served;
+                reports.push((request, CrashReport { crashes, served }));
+            }
+        }
+        self.unsent.retain(|_, sends| *sends > 0);
+        reports
     }
 
     fn count_crashes(&self, request: Fingerprint) -> usize {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -448,6 +448,30 @@
     assert!(trials.is_empty());
 }
 
+/// Guards against reports that are sent without end: each crash is reported to all hosts, so their number grows
+/// with the number of hosts and of crashes.
+#[test]
+fn reports_are_sent_twice() {
+    let start = Instant::now();
+    let mut view = CrashView::default();
+    for number in 0..2 {
+        let (sent, upstream) = (start + ms(700 * number), name(&format!("u{number}")));
+        view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, poisonous());
+        view.end_upstream(sent + ms(100), &upstream);
+    }
+    let own = CrashView::own();
+    let mut sent = Vec::new();
+    while view.suspects.has_unsent_reports() {
+        sent.extend(view.suspects.take_reports(&own));
+    }
+    assert_eq!(
+        sent.iter().map(|(_, report)| report.crashes.len()).collect::<Vec<_>>(),
+        [2, 2]
+    );
+    view.suspects.resend_reports();
+    assert_eq!(view.suspects.take_reports(&own).len(), 1, "a new host gets the report");
+}
+
 /// Guards against reports of other hosts that count twice when they are sent again, that are lost with one
 /// datagram, or that block a request which was served since.
 #[test]
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::attempt::record_outcome;
 use super::connect::{CallError, Endpoint};
@@ -31,8 +31,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Smallest time between the ends of a check of an upstream and the start of the next one.
 const CHECK_GAP: Duration = Duration::from_secs(1);
-/// Delays before reports are sent: more than once, as datagrams are lost at times.
-const REPORT_DELAYS: [Duration; 3] = [Duration::ZERO, Duration::from_millis(300), Duration::from_secs(1)];
+/// Time between two sendings of reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(300);
 /// Most reports in one message, which keeps it below the limit on messages to all hosts.
 const MESSAGE_REPORTS_MAX: usize = 20;
 
@@ -46,13 +46,6 @@
     reports_due: Notify,
 }
 
-impl CrashWatch {
-    /// Sends this host's reports to all hosts, for instance because a new one doesn't have them.
-    pub(crate) fn send_reports(&self) {
-        self.reports_due.notify_one();
-    }
-}
-
 /// A report of one request on its way to another host. Times are ages in microseconds when it was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WireReport {
@@ -85,6 +78,12 @@
     spawn_local(run_reports(Rc::clone(gateway)));
 }
 
+/// Sends the reports of suspects again, for a host that has just joined.
+pub(crate) fn resend_reports(gateway: &Gateway) {
+    gateway.suspects.borrow_mut().resend_reports();
+    gateway.crash_watch.reports_due.notify_one();
+}
+
 /// Requests a check of an upstream that may have ended, if requests ran there that may be the cause.
 pub(crate) fn request_check(gateway: &Gateway, upstream: &UpstreamName) {
     if gateway.runs.borrow().has_suspects(upstream) {
@@ -100,7 +99,7 @@
         if gateway.suspects.borrow_mut().record_served(request, at) {
             info!(gateway.log, "request no longer suspected of crashes"; "upstream" => %upstream,
                 "fingerprint" => %request);
-            gateway.crash_watch.send_reports();
+            gateway.crash_watch.reports_due.notify_one();
         }
     }
 }
@@ -118,7 +117,7 @@
         warn!(gateway.log, "request may have crashed an upstream"; "upstream" => %upstream, "fingerprint" => %request,
             "crashes" => count, "evidence" => evidence);
     }
-    gateway.crash_watch.send_reports();
+    gateway.crash_watch.reports_due.notify_one();
 }
 
 async fn run_checks(gateway: Rc<Gateway>) {
@@ -177,7 +176,8 @@
     response: Option<&CheckResult>,
 ) -> Option<&'static str> {
     match response {
-        None => Some("entry gone"),
+        // The entry of an upstream that leaves may be gone before the upstream.
+        None => None,
         Some(Ok(response)) => {
             let instance = response.headers().get(INSTANCE);
             if instance.is_some_and(|name| name.as_bytes() != upstream.as_str().as_bytes()) {
@@ -194,22 +194,18 @@
     }
 }
 
-/// Sends this host's reports whenever they have changed.
+/// Sends the reports that are due.
 async fn run_reports(gateway: Rc<Gateway>) {
     loop {
-        gateway.crash_watch.reports_due.notified().await;
-        let mut delays = REPORT_DELAYS.iter();
-        while let Some(&delay) = delays.next() {
-            if timeout(delay, gateway.crash_watch.reports_due.notified()).await.is_ok() {
-                delays = REPORT_DELAYS.iter();
-                continue;
-            }
-            send_own_reports(&gateway);
+        while gateway.suspects.borrow().has_unsent_reports() {
+            send_reports(&gateway);
+            sleep(REPORT_PERIOD).await;
         }
+        gateway.crash_watch.reports_due.notified().await;
     }
 }
 
-fn send_own_reports(gateway: &Gateway) {
+fn send_reports(gateway: &Gateway) {
     let now = Instant::now();
     let own = &gateway.settings.host;
     let wire = |(request, report): (Fingerprint, CrashReport)| WireReport {
@@ -229,8 +225,8 @@
     };
     let reports: Vec<_> = gateway
         .suspects
-        .borrow()
-        .own_reports(own)
+        .borrow_mut()
+        .take_reports(own)
         .into_iter()
         .map(wire)
         .collect();
@@ -261,7 +257,9 @@
         };
         let mut suspects = gateway.suspects.borrow_mut();
         let count = suspects.apply_report(now, host, wire.request, report);
-        info!(gateway.log, "crash reported by another host"; "reporter" => %host, "fingerprint" => %wire.request,
-            "crashes" => count);
+        if count > 1 {
+            info!(gateway.log, "crash reported by another host"; "reporter" => %host, "fingerprint" => %wire.request,
+                "crashes" => count);
+        }
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -8,7 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::crashes::{record_end, request_check};
+use super::crashes::{record_end, resend_reports};
 use super::feed::follow_topics;
 use super::state::{Gateway, Presence};
 use crate::catalog::CatalogVersion;
@@ -124,7 +124,6 @@
         let name = record.key.parse().ok()?;
         info!(gateway.log, "upstream entry gone"; "upstream" => %name, "offset" => record.offset.0);
         fleet.remove(now, &name);
-        request_check(gateway, &name);
         return Some(Update::Record(record.clone()));
     };
     match decode_server(&record.key, text) {
@@ -185,7 +184,7 @@
             Ok(presence) => {
                 if hosts.insert(host, presence.clone()).as_ref() != Some(&presence) {
                     // A new process doesn't know the suspects yet.
-                    gateway.crash_watch.send_reports();
+                    resend_reports(gateway);
                 }
             }
             Err(error) => warn!(gateway.log, "host entry can't be decoded; the previous one stays";
