Reproduce servers that get more than the limit that they name

What callers saw: nothing yet; a server in need gets more than it takes and may fail them.

Test: the server stand-in names a limit of 4 a second in its responses; three gateways send it requests beside two others.

send_load moves from the crash tests to Cluster, so that both files use it.

--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -98,8 +98,13 @@
     TruncateChunked,
     /// The server announces that it is draining.
     Drain,
+    /// The server names a limit of [`NAMED_LIMIT`] in its responses.
+    Limit,
 }
 
+/// Requests per second that a server names as its limit.
+pub const NAMED_LIMIT: u32 = 4;
+
 /// What the stand-in has run; tests compare it with what callers received.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RunReport {
@@ -475,6 +480,9 @@
                 response.headers_mut().insert(HeaderName::from_static(name), value);
             }
         }
+        if self.lock().fault == ServerFault::Limit {
+            response.headers_mut().insert("server-limit", NAMED_LIMIT.into());
+        }
         Reply::Complete(response)
     }
 }
--- a/standins/tests/gateway/crashes.rs
+++ b/standins/tests/gateway/crashes.rs
@@ -24,20 +24,8 @@
 /// Number of times that such a request may reach servers after that time.
 const LATE_MAX: usize = 3;
 
-/// Sends other requests to a gateway until `is_over` is set; returns how many were served.
-fn send_load(cluster: &Cluster, gateway: usize, is_over: &AtomicBool) -> usize {
-    let mut served = 0;
-    for number in 0.. {
-        if is_over.load(Ordering::Relaxed) {
-            break;
-        }
-        let path = format!("/flotas/{}", number % 5);
-        let response = cluster.call(gateway, "GET", &path, &format!("other-{gateway}-{number}"), None);
-        served += usize::from(response.status == 200);
-        std::thread::sleep(Duration::from_millis(40));
-    }
-    served
-}
+/// Pause between two other requests to a gateway.
+const LOAD_PERIOD: Duration = Duration::from_millis(40);
 
 /// Requests that crash servers, as the servers logged them: time in Unix milliseconds and server.
 type Arrivals = Vec<(u64, String)>;
@@ -57,7 +45,7 @@
     std::thread::scope(|scope| {
         let (cluster, is_over) = (&cluster, &is_over);
         let others: Vec<_> = (0..GATEWAYS)
-            .map(|gateway| scope.spawn(move || send_load(cluster, gateway, is_over)))
+            .map(|gateway| scope.spawn(move || cluster.send_load(gateway, LOAD_PERIOD, is_over)))
             .collect();
         let start = Instant::now();
         for number in 0.. {
--- /dev/null
+++ b/standins/tests/gateway/directives.rs
@@ -0,0 +1,77 @@
+//! Servers that tell gateways in their responses what they may send.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use serde_json::json;
+use standins::server::{EventRecord, NAMED_LIMIT, ServerEvent, unix_ms};
+use tempfile::TempDir;
+
+use super::{Cluster, set_fault};
+
+const GATEWAYS: usize = 3;
+/// Pause between two requests to a gateway.
+const LOAD_PERIOD: Duration = Duration::from_millis(10);
+/// Time within which gateways follow a limit, in milliseconds.
+const STABLE_MS: u64 = 3_000;
+/// Length of the windows in which requests to a server with a limit are counted, in milliseconds.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+
+/// Returns when requests reached a server, in Unix milliseconds.
+fn read_arrivals(log: &Path, server: &str) -> Vec<u64> {
+    let text = std::fs::read_to_string(log).expect("an event log");
+    let records = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<EventRecord>(line).ok());
+    let is_arrival = |record: &EventRecord| record.server == server && matches!(record.event, ServerEvent::Run(..));
+    records.filter(is_arrival).map(|record| record.at).collect()
+}
+
+/// Sets the fault of the first server of `renovaciones`, sends load for a time, and returns when the fault was
+/// set and when requests reached this server.
+fn run_load(fault: &str, time: Duration) -> (u64, Vec<u64>) {
+    let directory = TempDir::new().expect("a temporary directory");
+    let log = directory.path().join("events");
+    let log_name = log.display().to_string();
+    let cluster = Cluster::start_with(GATEWAYS, 3, &["--record", &log_name, "--work-ms", "5"]);
+    let (name, limited) = &cluster.servers[3];
+    let is_over = AtomicBool::new(false);
+    let mut set_at = 0;
+    std::thread::scope(|scope| {
+        let (cluster, is_over) = (&cluster, &is_over);
+        let load: Vec<_> = (0..GATEWAYS)
+            .map(|gateway| scope.spawn(move || cluster.send_load(gateway, LOAD_PERIOD, is_over)))
+            .collect();
+        std::thread::sleep(Duration::from_secs(1));
+        set_fault(limited.address, &json!(fault));
+        set_at = unix_ms();
+        std::thread::sleep(time);
+        is_over.store(true, Ordering::Relaxed);
+        let served: usize = load
+            .into_iter()
+            .map(|sender| sender.join().expect("a load thread"))
+            .sum();
+        assert!(served > 0, "no request was served");
+    });
+    (set_at, read_arrivals(&log, name))
+}
+
+/// Guards against sending a server more requests than one and a half times the limit that it names.
+#[test]
+fn server_gets_no_more_than_its_limit() {
+    let (set_at, arrivals) = run_load("limit", Duration::from_secs(11));
+    let limit = u64::from(NAMED_LIMIT) * LIMIT_WINDOW_MS / 1_000 * 3 / 2 + 5;
+    let late: Vec<u64> = arrivals.into_iter().filter(|at| *at >= set_at + STABLE_MS).collect();
+    let counts = late.iter().map(|start| {
+        let window = *start..start + LIMIT_WINDOW_MS;
+        late.iter().filter(|at| window.contains(at)).count()
+    });
+    let most = u64::try_from(counts.max().unwrap_or_default()).expect("a small number");
+    println!("limit: at most {most} requests in a window, {} in all", late.len());
+    assert!(
+        most <= limit,
+        "{most} requests in {LIMIT_WINDOW_MS} ms, {limit} allowed"
+    );
+    assert!(!late.is_empty(), "the server gets no requests at all");
+}
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -1,11 +1,13 @@
 //! Tests gateways as real processes between an ordinary HTTP client and the stand-ins.
 
 mod crashes;
+mod directives;
 mod support;
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -161,6 +163,21 @@
             .unwrap_or_default()
     }
 
+    /// Sends requests to a gateway until `is_over` is set; returns how many were served.
+    fn send_load(&self, gateway: usize, period: Duration, is_over: &AtomicBool) -> usize {
+        let mut served = 0;
+        for number in 0.. {
+            if is_over.load(Ordering::Relaxed) {
+                break;
+            }
+            let path = format!("/flotas/{}", number % 5);
+            let response = self.call(gateway, "GET", &path, &format!("load-{gateway}-{number}"), None);
+            served += usize::from(response.status == 200);
+            std::thread::sleep(period);
+        }
+        served
+    }
+
     /// Returns how often a request has run on all servers together.
     fn run_count(&self, id: &str) -> u64 {
         let runs = self.servers.iter().map(|(_, server)| {
