Keep to the limit on requests that a server names

Cause: nothing read Server-Limit, and the plan for keys knew only the limits of cold upstreams.

Change: each host sends an equal share of the limit, by a token bucket that starts at a random level. A response without the header ends it. Owners with a limit get keys for three quarters of it; the plan takes keys from the owners that exceed what they can take most, whatever their use of slots.

--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -4,10 +4,12 @@
 //! limit, even while some hosts are cut off from each other.
 
 mod cold;
+mod limit;
 mod retry;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use cold::{ColdLimiter, ColdQuota};
+pub(crate) use limit::RateLimiter;
 pub(crate) use retry::{RetryBudget, RetryLimits};
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 use tokio::time::Instant;
 
+use crate::budget::RateLimiter;
 use crate::catalog::{Announcement, Phase};
 use crate::types::{PoolName, UpstreamName, Zone};
 
@@ -54,6 +55,8 @@
     pub(crate) grace_until: Option<Instant>,
     pub(crate) health: Health,
     pub(crate) load: Load,
+    /// Limit that the upstream named in its last response.
+    pub(crate) limiter: Option<RateLimiter>,
 }
 
 /// Incarnation of an upstream and sequence number of its announcement; greater is newer.
@@ -163,6 +166,7 @@
             grace_until: None,
             health: Health::default(),
             load: Load::new(now, announcement.slots),
+            limiter: None,
             announcement,
         };
         self.upstreams.insert(upstream.announcement.upstream.clone(), upstream);
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -55,10 +55,12 @@
         build_refusal(
             gateway,
             ctx,
-            if has_upstream {
-                Reason::QueueFull
-            } else {
+            if !has_upstream {
                 Reason::NoUpstream
+            } else if fleet.in_pool(&ctx.pool).any(|u| !gateway.admits_limited(now, u)) {
+                Reason::UpstreamLimited
+            } else {
+                Reason::QueueFull
             },
         )
     })?;
@@ -98,7 +100,11 @@
         match find_owner(gateway, ctx, now, key) {
             Ownership::Owned(owner) => {
                 let fleet = gateway.fleet.borrow();
-                let upstream = fleet.get(&owner).filter(|u| gateway.has_room(now, pool, u));
+                let upstream = fleet.get(&owner);
+                if upstream.is_some_and(|u| !gateway.admits_limited(now, u)) {
+                    return Err(build_refusal(gateway, ctx, Reason::UpstreamLimited));
+                }
+                let upstream = upstream.filter(|u| gateway.has_room(now, pool, u));
                 return match upstream.filter(|u| !misses_deadline(gateway, ctx, now, u)) {
                     Some(_) => Ok(owner),
                     None => Err(build_refusal(gateway, ctx, Reason::QueueFull)),
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -19,7 +19,8 @@
 use super::peers::Message;
 use super::state::Gateway;
 use super::watch::{TABLE_PREFIX, apply_table_delta};
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Pool};
+use crate::fleet::Upstream;
 use crate::keys::{
     Action, Candidate, Confirmations, GrantOutcome, Grantor, Holder, HostIncarnation, KeyCounts, KeyRange, KeyRates,
     KeyTable, LeaseTiming, Move, ReleaseOutcome, plan_balance, plan_orphans,
@@ -54,6 +55,9 @@
 const UNRESPONSIVE_LIMIT: Duration = Duration::from_millis(700);
 /// Load, relative to the request rate that a cold upstream tolerates, up to which it is assigned keys.
 const COLD_LOAD_RATIO: f64 = 0.6;
+/// Load, relative to the limit that an upstream names, up to which it is assigned keys. Each host has an equal
+/// share of the limit, but not of the load.
+const NAMED_LOAD_RATIO: f64 = 0.75;
 /// Latency assumed for a pool that is not the first target of any route.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(100);
 
@@ -275,7 +279,7 @@
         .map(|u| Candidate {
             holder: Holder::of(&u.announcement),
             capacity: f64::from(u.announcement.slots) / (typical * u.load.latency_ratio.clamp(0.4, 3.0)),
-            limit: u.is_cold(now).then_some(settings.cold_rate * COLD_LOAD_RATIO),
+            limit: load_limit(now, settings, u),
         })
         .collect();
     let moves = plan_orphans(pool.grantor.table(), &candidates, &pool.rates);
@@ -312,6 +316,14 @@
     }
 }
 
+/// Returns the load up to which an upstream is assigned keys, in requests per second; `None` without a limit.
+fn load_limit(now: Instant, settings: &Pool, upstream: &Upstream) -> Option<f64> {
+    let cold = upstream.is_cold(now).then_some(settings.cold_rate * COLD_LOAD_RATIO);
+    let named = upstream.limiter.as_ref().map(|limiter| limiter.limit().per_second());
+    let limits = cold.into_iter().chain(named.map(|rate| rate * NAMED_LOAD_RATIO));
+    limits.reduce(f64::min)
+}
+
 fn log_moves(gateway: &Gateway, pool: &PoolName, why: &str, moves: &[Move]) {
     for key_move in moves {
         info!(gateway.log, "keys move"; "pool" => %pool, "keys" => %key_move.range,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -19,7 +19,7 @@
 use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
-use crate::budget::{ColdLimiter, ColdQuota, RetryBudget, RetryLimits};
+use crate::budget::{ColdLimiter, ColdQuota, RateLimiter, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
 use crate::fleet::{Fleet, Runs, Suspects, Upstream};
@@ -28,7 +28,7 @@
 use crate::relay::Topic;
 use crate::settings::Settings;
 use crate::telemetry::{Metrics, StateSnapshot};
-use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
+use crate::types::{HostName, PoolName, Rate, RouteName, UpstreamName, Zone};
 
 /// Weight of one response in the moving average of a route's latency.
 const TYPICAL_LATENCY_WEIGHT: f64 = 0.05;
@@ -260,15 +260,46 @@
         budget.try_take(now, &self.retry_limits(), self.host_count())
     }
 
-    /// Reports whether an upstream can take one more request: a connection is available and, if the
-    /// upstream is cold, this host's quota has room.
+    /// Reports whether an upstream can take one more request: a connection is available, and this host's shares
+    /// of the upstream's own limit and of the limit on cold upstreams have room.
     pub(crate) fn has_room(&self, now: Instant, pool: &Pool, upstream: &Upstream) -> bool {
-        self.admits_cold(now, pool, upstream)
+        self.admits_limited(now, upstream)
+            && self.admits_cold(now, pool, upstream)
             && self
                 .connections
                 .has_room(&upstream.announcement.upstream, self.connection_limit(pool))
     }
 
+    /// Reports whether an upstream names no limit, or this host's share of it has room.
+    pub(crate) fn admits_limited(&self, now: Instant, upstream: &Upstream) -> bool {
+        let limiter = upstream.limiter.as_ref();
+        limiter.is_none_or(|limiter| limiter.admits(now, self.host_count()))
+    }
+
+    /// Applies the limit that an upstream names in a response; `None` if it names none.
+    pub(crate) fn apply_limit(&self, now: Instant, upstream: &UpstreamName, limit: Option<Rate>) {
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(entry) = fleet.get_mut(upstream) else {
+            return;
+        };
+        match (limit, &mut entry.limiter) {
+            (None, None) => {}
+            (None, limiter) => {
+                info!(self.log, "upstream names no limit any more"; "upstream" => %upstream);
+                *limiter = None;
+            }
+            (Some(limit), Some(limiter)) if limiter.limit() == limit => {}
+            (Some(limit), limiter) => {
+                info!(self.log, "upstream names a limit"; "upstream" => %upstream, "limit" => %limit,
+                    "hosts" => self.host_count());
+                match limiter {
+                    Some(limiter) => limiter.set_limit(now, limit, self.host_count()),
+                    None => *limiter = Some(RateLimiter::new(now, limit, self.rng.borrow_mut().random())),
+                }
+            }
+        }
+    }
+
     /// Returns the number of connections that this host may open to one upstream for requests.
     pub(crate) fn connection_limit(&self, pool: &Pool) -> u32 {
         // One connection is reserved for lease commands.
@@ -299,6 +330,9 @@
         };
         entry.load.in_flight += 1;
         entry.health.start();
+        if let Some(limiter) = &mut entry.limiter {
+            limiter.record_sent(now, self.host_count());
+        }
         if entry.is_cold(now) {
             let mut limiters = self.cold_limiters.borrow_mut();
             limiters.entry(upstream.clone()).or_default().record_sent(now);
--- a/src/keys/plan.rs
+++ b/src/keys/plan.rs
@@ -9,7 +9,7 @@
 use super::{Assignment, Holder, KeyRange, KeyRates, KeyTable};
 
 /// Ratio of an upstream's usage to the mean above which keys move away from it, if the usage also exceeds
-/// `BUSY_USAGE`. Also the ratio of a cold upstream's load to its limit above which keys move away from it.
+/// `BUSY_USAGE`. Also the ratio of an upstream's load to its limit above which keys move away from it.
 const IMBALANCE_RATIO: f64 = 1.3;
 /// Usage, as a share of the slots, below which imbalance doesn't make requests wait.
 const BUSY_USAGE: f64 = 0.35;
@@ -36,7 +36,7 @@
     pub(crate) holder: Holder,
     /// Requests per second that occupy all its slots.
     pub(crate) capacity: f64,
-    /// Largest load while it is cold, in requests per second; `None` if it is warm.
+    /// Largest load that it tolerates while it is cold or names a limit, in requests per second.
     pub(crate) limit: Option<f64>,
 }
 
@@ -66,13 +66,19 @@
         wanted - self.loads[index]
     }
 
+    /// Returns the load of a candidate relative to the load that it can take up to the given usage and its limit.
+    fn excess(&self, index: usize, usage: f64) -> f64 {
+        let load = self.loads[index];
+        load / (load + self.headroom(index, usage)).max(0.001)
+    }
+
     /// Returns the candidate with the most headroom.
     fn most_headroom(&self, usage: f64) -> Option<usize> {
         let all = 0..self.candidates.len();
         all.max_by(|&a, &b| self.headroom(a, usage).total_cmp(&self.headroom(b, usage)))
     }
 
-    /// Returns the usage at which all load is spread evenly over the candidates, with cold ones held at their limits.
+    /// Returns the usage at which all load is spread evenly over the candidates, with those that have limits held at these.
     fn mean_usage(&self, total: f64) -> f64 {
         let mut is_limited = vec![false; self.candidates.len()];
         loop {
@@ -184,7 +190,7 @@
     let target = pool.most_headroom(mean)?;
     let is_empty = pool.usage(target) < mean * EMPTY_RATIO;
     let mut sources: Vec<usize> = (0..candidates.len()).filter(|&index| index != target).collect();
-    sources.sort_by(|&a, &b| pool.usage(b).total_cmp(&pool.usage(a)));
+    sources.sort_by(|&a, &b| pool.excess(b, mean).total_cmp(&pool.excess(a, mean)));
     sources.truncate(SOURCES_MAX);
     sources.into_iter().find_map(|from| {
         let limit = candidates[from].limit;
@@ -193,7 +199,7 @@
         if !(is_full || is_empty || is_over_limit) {
             return None;
         }
-        let excess = pool.loads[from] - mean * candidates[from].capacity;
+        let excess = -pool.headroom(from, mean);
         let headroom = pool.headroom(target, mean);
         // An almost empty upstream is filled up to the mean, even if the source then falls below the mean.
         let wanted = if is_empty { headroom } else { excess.min(headroom) };
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -221,6 +221,41 @@
     assert!(load <= 8.0 * 1.2, "{load}");
 }
 
+/// Guards against keys that stay with an owner whose load exceeds the limit that it names, although its usage is
+/// no higher than that of other owners: no other upstream can serve them, so requests are refused.
+#[test]
+fn keys_leave_owner_whose_load_exceeds_its_limit() {
+    let mut rates = KeyRates::default();
+    rates.record_counts(&(0..4_000).map(|key| (key * 16, 1)).collect());
+    rates.advance(Duration::from_secs(100));
+    let mut table = table();
+    let mut candidates: Vec<_> = (0..8).map(|number| candidate(&format!("u{number}"))).collect();
+    for next in plan_orphans(&table, &candidates, &rates) {
+        table.assign(next.range, Some(&next.owner));
+    }
+    let total = rates.load(KeyRange::ALL);
+    for limited in &mut candidates[4..] {
+        limited.limit = Some(total / 16.0);
+    }
+    for _ in 0..40 {
+        table
+            .assignments
+            .iter_mut()
+            .for_each(|assignment| assignment.ready = true);
+        for next in plan_balance(&table, &candidates, &rates) {
+            table.assign(next.range, Some(&next.owner));
+        }
+    }
+    for limited in &candidates[4..] {
+        let owned = table
+            .assignments
+            .iter()
+            .filter(|assignment| assignment.owner.as_ref() == Some(&limited.holder));
+        let load: f64 = owned.map(|assignment| rates.load(assignment.range)).sum();
+        assert!(load <= total / 16.0 * 1.3 + 0.01, "{load} of {total}");
+    }
+}
+
 /// A command on its way to an upstream in the simulated network.
 #[derive(Clone, Debug)]
 struct InFlightCommand {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName};
 
 use crate::fleet::LoadReport;
+use crate::types::Rate;
 
 /// Id of a caller's request; upstreams repeat it in the response.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-ragworthub-request-id");
@@ -27,6 +28,9 @@
 /// Load of the upstream: running requests, waiting requests, slots and, optionally, slowness in percent.
 const LOAD: HeaderName = HeaderName::from_static("x-ragworthub-server-load");
 
+/// Requests per second that the upstream takes from all hosts together.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+
 /// Slowness of an upstream that reports none.
 const TYPICAL_SLOWNESS_PERCENT: u32 = 100;
 
@@ -37,6 +41,11 @@
     Duration::try_from_secs_f64(millis.unwrap_or_default() / 1e3).unwrap_or_default()
 }
 
+/// Parses the limit that an upstream names; `None` if the header is missing or malformed.
+pub(crate) fn read_limit(headers: &HeaderMap) -> Option<Rate> {
+    headers.get(LIMIT)?.to_str().ok()?.parse().ok()
+}
+
 /// Parses an upstream's load; `None` if the header is missing or malformed.
 pub(crate) fn read_load(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(LOAD)?.to_str().ok()?;
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -13,10 +13,12 @@
 pub(crate) use value;
 
 mod ids;
+mod rate;
 mod verdict;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use ids::{HostName, Offset, ParseValueError, PoolName, RouteName, UpstreamName, Zone};
+pub(crate) use rate::Rate;
 pub(crate) use verdict::{Reason, Verdict};
