Send no requests to a server that states that it is leaving

What callers saw: requests to a server that was about to end, whose store entry still said ready or was about to expire.

Cause: nothing read Server-Leaving; only the store's entries took a server out of service.

Change: a response with Server-Leaving: 1 takes this incarnation out of service at this host, whatever it announces later. The host tells the others, which may have sent it nothing, so the grantor moves its keys. apply_limit moves to gateway::directives beside it.

Ruled out: ending at the next announcement (a server that leaves goes on announcing that it is ready).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub(crate) announcement: Announcement,
+    /// When the upstream first stated in a response that it is leaving, whatever it announces.
+    leaving_since: Option<Instant>,
     /// When this host learnt of the current phase.
     pub(crate) phase_since: Instant,
     /// End of the cold period; in the past if the upstream isn't cold.
@@ -159,6 +161,7 @@
         let names = self.pools.entry(announcement.pool.clone()).or_default();
         names.insert(announcement.upstream.clone());
         let upstream = Upstream {
+            leaving_since: None,
             phase_since: now,
             cold_until,
             suspected_at: None,
@@ -179,13 +182,20 @@
     pub(crate) fn remove(&mut self, now: Instant, name: &UpstreamName) {
         let grace_end = self.store_failure.map(|at| at + EXPIRY_GRACE).filter(|&end| end > now);
         match (grace_end, self.upstreams.get_mut(name)) {
-            (Some(end), Some(upstream)) if upstream.announcement.phase == Phase::Ready => {
+            (Some(end), Some(upstream)) if upstream.is_staying() => {
                 upstream.grace_until.get_or_insert(end);
             }
             _ => self.drop_upstream(name),
         }
     }
 
+    /// Records that an upstream states that it is leaving. Returns its incarnation if this is new.
+    pub(crate) fn record_leaving(&mut self, now: Instant, name: &UpstreamName) -> Option<u64> {
+        let upstream = self.upstreams.get_mut(name).filter(|u| u.leaving_since.is_none())?;
+        upstream.leaving_since = Some(now);
+        Some(upstream.announcement.incarnation)
+    }
+
     /// Treats an upstream as cold before it announces so. Returns true if it wasn't cold before.
     pub(crate) fn suspect_cold(&mut self, now: Instant, name: &UpstreamName, time: Duration) -> bool {
         let Some(upstream) = self.upstreams.get_mut(name) else {
@@ -285,18 +295,25 @@
 
     /// Reports whether an upstream accepts requests that any upstream of its pool may run.
     pub(crate) fn is_in_service(&self, upstream: &Upstream) -> bool {
-        upstream.announcement.phase == Phase::Ready && !self.is_closed(&upstream.announcement.zone)
+        upstream.is_staying() && !self.is_closed(&upstream.announcement.zone)
     }
 
     /// Reports whether an owner of keys accepts requests for them, which includes a short time after
     /// it started draining.
     pub(crate) fn serves_keys(&self, now: Instant, upstream: &Upstream) -> bool {
-        let is_draining = upstream.announcement.phase == Phase::Draining;
-        !self.is_closed(&upstream.announcement.zone) && (!is_draining || now < upstream.phase_since + HANDOFF_TIME)
+        let draining_since = (upstream.announcement.phase == Phase::Draining).then_some(upstream.phase_since);
+        let leaves_since = upstream.leaving_since.into_iter().chain(draining_since).min();
+        let is_leaving = leaves_since.is_some_and(|since| now >= since + HANDOFF_TIME);
+        !self.is_closed(&upstream.announcement.zone) && !is_leaving
     }
 }
 
 impl Upstream {
+    /// Reports whether the upstream neither announces that it is draining nor states that it is leaving.
+    fn is_staying(&self) -> bool {
+        self.announcement.phase == Phase::Ready && self.leaving_since.is_none()
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
     }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -185,6 +185,24 @@
     assert_eq!(pick(&fleet, now, "z1", Locality::Prefer), Some(name("near")));
 }
 
+/// Guards against an upstream that states that it is leaving and gets requests again because it, or a late record,
+/// still announces it as ready; a new incarnation must get some.
+#[test]
+fn leaving_upstream_stays_out_of_service_until_it_restarts() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.announce(now, announcement("u", "z1", 1, 1));
+    assert_eq!(fleet.record_leaving(now, &name("u")), Some(1));
+    assert_eq!(fleet.record_leaving(now + ms(100), &name("u")), None, "reported twice");
+    fleet.announce(now + ms(500), announcement("u", "z1", 1, 2));
+    assert_eq!(pick(&fleet, now, "z1", Locality::Prefer), None);
+    let serves_keys = |now| fleet.get(&name("u")).is_some_and(|u| fleet.serves_keys(now, u));
+    assert!(serves_keys(now + ms(500)), "its keys have no new owner yet");
+    assert!(!serves_keys(now + ms(1_500)));
+    fleet.announce(now + ms(5_000), announcement("u", "z1", 2, 1));
+    assert_eq!(pick(&fleet, now, "z1", Locality::Prefer), Some(name("u")));
+}
+
 /// Guards against ignoring the slowness that an upstream reports, and against counting it for too
 /// long. A noisy neighbour slows an upstream down only for a moment.
 #[test]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,12 +14,13 @@
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
 use super::connections::Sender;
 use super::crashes::{record_heard, request_check};
+use super::directives::apply_directives;
 use super::peers::Message;
 use super::request::{BufferedBody, RequestContext};
 use super::state::Gateway;
 use crate::catalog::Idempotency;
 use crate::fleet::{Outcome, RunEnd};
-use crate::platform::{DEADLINE, EXPECTED_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE, read_limit, read_load};
+use crate::platform::{DEADLINE, EXPECTED_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE, read_load};
 use crate::types::{Reason, UpstreamName, Verdict};
 
 /// Timeout for opening a connection to an upstream, which usually takes a few milliseconds.
@@ -234,7 +235,7 @@
             "upstream" => %upstream, "status" => response.status().as_u16());
         return Err(failure(Reason::BadResponse, Verdict::MayHaveRun));
     }
-    gateway.apply_limit(now, &upstream, read_limit(headers));
+    apply_directives(gateway, now, &upstream, headers);
     let status = response.status();
     let is_not_executed = headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
     if let (Some(report), Some(entry)) = (report, gateway.fleet.borrow_mut().get_mut(&upstream)) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod counting;
 mod crashes;
+mod directives;
 mod election;
 mod feed;
 mod framing;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::crashes::{WireReport, apply_reports};
+use super::directives::record_leaving;
 use super::feed::{apply_deltas, readers};
 use super::grants::record_counts;
 use super::orders::record_cold;
@@ -54,6 +55,7 @@
 /// - The grantor repeats `StepDown` and `ConfirmRequest` in rounds, and hosts respond again.
 /// - The store has what `OwnersChanged`, `Refresh` and `Relay` are about; hosts that miss one read the store.
 /// - `CrashReports` are sent several times; each has all that the host has seen.
+/// - `Leaving` is not repeated. A host that misses it learns from the next response of the upstream.
 /// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
 ///   grantor's request rates are too low for a time.
 ///   Without `Cold`, the receiver may not know that the upstream is cold before the upstream announces it.
@@ -84,6 +86,8 @@
     Suspect(UpstreamName),
     /// An upstream is cold and may not have announced it yet.
     Cold { upstream: UpstreamName, millis: u64 },
+    /// An incarnation of an upstream states in its responses that it is leaving.
+    Leaving { upstream: UpstreamName, incarnation: u64 },
     /// Owners of keys changed; the store has the change.
     #[serde(rename = "Change")]
     OwnersChanged(TableDelta),
@@ -178,6 +182,7 @@
             }
             Ok(Message::CrashReports { host, reports }) => apply_reports(&gateway, &host, &reports),
             Ok(Message::Cold { upstream, millis }) => record_cold(&gateway, &upstream, Duration::from_millis(millis)),
+            Ok(Message::Leaving { upstream, incarnation }) => record_leaving(&gateway, &upstream, incarnation),
             Ok(Message::Suspect(upstream)) => {
                 gateway
                     .fleet
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
-use slog::{Logger, info};
+use slog::Logger;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -19,7 +19,7 @@
 use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
-use crate::budget::{ColdLimiter, ColdQuota, RateLimiter, RetryBudget, RetryLimits};
+use crate::budget::{ColdLimiter, ColdQuota, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
 use crate::fleet::{Fleet, Runs, Suspects, Upstream};
@@ -28,7 +28,7 @@
 use crate::relay::Topic;
 use crate::settings::Settings;
 use crate::telemetry::{Metrics, StateSnapshot};
-use crate::types::{HostName, PoolName, Rate, RouteName, UpstreamName, Zone};
+use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
 
 /// Weight of one response in the moving average of a route's latency.
 const TYPICAL_LATENCY_WEIGHT: f64 = 0.05;
@@ -276,30 +276,6 @@
         limiter.is_none_or(|limiter| limiter.admits(now, self.host_count()))
     }
 
-    /// Applies the limit that an upstream names in a response; `None` if it names none.
-    pub(crate) fn apply_limit(&self, now: Instant, upstream: &UpstreamName, limit: Option<Rate>) {
-        let mut fleet = self.fleet.borrow_mut();
-        let Some(entry) = fleet.get_mut(upstream) else {
-            return;
-        };
-        match (limit, &mut entry.limiter) {
-            (None, None) => {}
-            (None, limiter) => {
-                info!(self.log, "upstream names no limit any more"; "upstream" => %upstream);
-                *limiter = None;
-            }
-            (Some(limit), Some(limiter)) if limiter.limit() == limit => {}
-            (Some(limit), limiter) => {
-                info!(self.log, "upstream names a limit"; "upstream" => %upstream, "limit" => %limit,
-                    "hosts" => self.host_count());
-                match limiter {
-                    Some(limiter) => limiter.set_limit(now, limit, self.host_count()),
-                    None => *limiter = Some(RateLimiter::new(now, limit, self.rng.borrow_mut().random())),
-                }
-            }
-        }
-    }
-
     /// Returns the number of connections that this host may open to one upstream for requests.
     pub(crate) fn connection_limit(&self, pool: &Pool) -> u32 {
         // One connection is reserved for lease commands.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -31,6 +31,9 @@
 /// Requests per second that the upstream takes from all hosts together.
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
+/// Present in the responses of an upstream that is leaving.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// Slowness of an upstream that reports none.
 const TYPICAL_SLOWNESS_PERCENT: u32 = 100;
 
@@ -46,6 +49,11 @@
     headers.get(LIMIT)?.to_str().ok()?.parse().ok()
 }
 
+/// Reports whether an upstream states that it is leaving.
+pub(crate) fn read_leaving(headers: &HeaderMap) -> bool {
+    headers.get(LEAVING).is_some_and(|value| value.as_bytes() == b"1")
+}
+
 /// Parses an upstream's load; `None` if the header is missing or malformed.
 pub(crate) fn read_load(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(LOAD)?.to_str().ok()?;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -100,6 +100,8 @@
     Drain,
     /// The server names a limit of [`NAMED_LIMIT`] in its responses.
     Limit,
+    /// The server states in its responses that it is leaving, and announces nothing.
+    Leave,
 }
 
 /// Requests per second that a server names as its limit.
@@ -480,9 +482,14 @@
                 response.headers_mut().insert(HeaderName::from_static(name), value);
             }
         }
-        if self.lock().fault == ServerFault::Limit {
-            response.headers_mut().insert("server-limit", NAMED_LIMIT.into());
-        }
+        let directive = match self.lock().fault {
+            ServerFault::Limit => Some(("server-limit", NAMED_LIMIT.into())),
+            ServerFault::Leave => Some(("server-leaving", HeaderValue::from_static("1"))),
+            _ => None,
+        };
+        response
+            .headers_mut()
+            .extend(directive.map(|(name, value)| (HeaderName::from_static(name), value)));
         Reply::Complete(response)
     }
 }
--- a/standins/tests/gateway/directives.rs
+++ b/standins/tests/gateway/directives.rs
@@ -15,6 +15,10 @@
 const LOAD_PERIOD: Duration = Duration::from_millis(10);
 /// Time within which gateways follow a limit, in milliseconds.
 const STABLE_MS: u64 = 3_000;
+/// Time in which each gateway gets a response of the server, in milliseconds.
+const LEARN_MS: u64 = 500;
+/// The bound `drain`, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
 /// Length of the windows in which requests to a server with a limit are counted, in milliseconds.
 const LIMIT_WINDOW_MS: u64 = 4_000;
 
@@ -57,6 +61,16 @@
     (set_at, read_arrivals(&log, name))
 }
 
+/// Guards against sending requests to a server after `drain` that states in its responses that it is leaving,
+/// while the store has it as ready.
+#[test]
+fn leaving_server_gets_no_requests() {
+    let (set_at, arrivals) = run_load("leave", Duration::from_secs(6));
+    // With this load, each gateway has a response of the server within a few requests.
+    let late = arrivals.iter().filter(|at| **at > set_at + LEARN_MS + DRAIN_MS).count();
+    assert_eq!(late, 0, "{} requests after the fault", arrivals.len());
+}
+
 /// Guards against sending a server more requests than one and a half times the limit that it names.
 #[test]
 fn server_gets_no_more_than_its_limit() {
