Send nothing to a server for as long as its Retry-After says

What callers saw: refusals that took a round trip to a server that had said when it takes requests again.

Cause: nothing read Retry-After in the responses of servers.

Change: a 503 with Retry-After pauses the server at this host. Requests go to another server, or are refused at once as upstream-paused; for a key, the refusal tells the caller the end of the owner's pause. Checks of the server's health are left out meanwhile. An unreadable value is ignored; a pause lasts an hour at most.

Ruled out: a pause for all hosts (the server wants nothing from that host), and one after 429 (the header's meaning there is not stated).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -57,6 +57,8 @@
     pub(crate) grace_until: Option<Instant>,
     pub(crate) health: Health,
     pub(crate) load: Load,
+    /// End of the pause that the upstream wanted when it last refused a request.
+    pub(crate) paused_until: Option<Instant>,
     /// Limit that the upstream named in its last response.
     pub(crate) limiter: Option<RateLimiter>,
 }
@@ -169,6 +171,7 @@
             grace_until: None,
             health: Health::default(),
             load: Load::new(now, announcement.slots),
+            paused_until: None,
             limiter: None,
             announcement,
         };
@@ -314,6 +317,11 @@
         self.announcement.phase == Phase::Ready && self.leaving_since.is_none()
     }
 
+    /// Returns the end of the pause that the upstream wants, if it lasts.
+    pub(crate) fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|&end| now < end)
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -235,8 +235,8 @@
             "upstream" => %upstream, "status" => response.status().as_u16());
         return Err(failure(Reason::BadResponse, Verdict::MayHaveRun));
     }
-    apply_directives(gateway, now, &upstream, headers);
     let status = response.status();
+    apply_directives(gateway, now, &upstream, status, headers);
     let is_not_executed = headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
     if let (Some(report), Some(entry)) = (report, gateway.fleet.borrow_mut().get_mut(&upstream)) {
         entry.load.record_load(now, report);
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -57,6 +57,8 @@
             ctx,
             if !has_upstream {
                 Reason::NoUpstream
+            } else if fleet.in_pool(&ctx.pool).any(|u| u.pause_end(now).is_some()) {
+                Reason::UpstreamPaused
             } else if fleet.in_pool(&ctx.pool).any(|u| !gateway.admits_limited(now, u)) {
                 Reason::UpstreamLimited
             } else {
@@ -101,6 +103,12 @@
             Ownership::Owned(owner) => {
                 let fleet = gateway.fleet.borrow();
                 let upstream = fleet.get(&owner);
+                if let Some(end) = upstream.and_then(|u| u.pause_end(now)) {
+                    return Err(Refusal {
+                        retry_after: (ctx.verdict == Verdict::NotRun).then(|| end - now),
+                        ..build_refusal(gateway, ctx, Reason::UpstreamPaused)
+                    });
+                }
                 if upstream.is_some_and(|u| !gateway.admits_limited(now, u)) {
                     return Err(build_refusal(gateway, ctx, Reason::UpstreamLimited));
                 }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -84,9 +84,16 @@
     gateway.crash_watch.reports_due.notify_one();
 }
 
-/// Requests a check of an upstream that may have ended, if requests ran there that may be the cause.
+/// Requests a check of an upstream that may have ended, if requests ran there that may be the cause and the
+/// upstream wants no pause.
 pub(crate) fn request_check(gateway: &Gateway, upstream: &UpstreamName) {
-    if gateway.runs.borrow().has_suspects(upstream) {
+    let now = Instant::now();
+    let is_paused = gateway
+        .fleet
+        .borrow()
+        .get(upstream)
+        .is_some_and(|u| u.pause_end(now).is_some());
+    if !is_paused && gateway.runs.borrow().has_suspects(upstream) {
         gateway.crash_watch.queue.borrow_mut().insert(upstream.clone());
         gateway.crash_watch.queued.notify_one();
     }
--- a/src/gateway/directives.rs
+++ b/src/gateway/directives.rs
@@ -1,6 +1,8 @@
 //! Applies what upstreams state in their responses about the requests that they take.
 
-use http::HeaderMap;
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
 use rand::RngExt;
 use slog::info;
 use tokio::time::Instant;
@@ -8,12 +10,23 @@
 use super::peers::Message;
 use super::state::Gateway;
 use crate::budget::RateLimiter;
-use crate::platform::{read_leaving, read_limit};
+use crate::platform::{read_leaving, read_limit, read_pause};
 use crate::types::{Rate, UpstreamName};
 
 /// Applies the headers of a response.
-pub(super) fn apply_directives(gateway: &Gateway, now: Instant, upstream: &UpstreamName, headers: &HeaderMap) {
+pub(super) fn apply_directives(
+    gateway: &Gateway,
+    now: Instant,
+    upstream: &UpstreamName,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
     apply_limit(gateway, now, upstream, read_limit(headers));
+    if status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(pause) = read_pause(headers)
+    {
+        apply_pause(gateway, now, upstream, pause);
+    }
     if read_leaving(headers) {
         let incarnation = gateway.fleet.borrow_mut().record_leaving(now, upstream);
         if let Some(incarnation) = incarnation {
@@ -26,6 +39,18 @@
     }
 }
 
+/// Records that an upstream wants no requests of this host for a time.
+fn apply_pause(gateway: &Gateway, now: Instant, upstream: &UpstreamName, pause: Duration) {
+    let mut fleet = gateway.fleet.borrow_mut();
+    if let Some(entry) = fleet.get_mut(upstream) {
+        if entry.pause_end(now).is_none() {
+            info!(gateway.log, "upstream wants a pause"; "upstream" => %upstream,
+                "ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+        }
+        entry.paused_until = entry.paused_until.max(Some(now + pause));
+    }
+}
+
 /// Records that another host had a response in which an upstream states that it is leaving.
 pub(super) fn record_leaving(gateway: &Gateway, upstream: &UpstreamName, incarnation: u64) {
     let mut fleet = gateway.fleet.borrow_mut();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -260,10 +260,11 @@
         budget.try_take(now, &self.retry_limits(), self.host_count())
     }
 
-    /// Reports whether an upstream can take one more request: a connection is available, and this host's shares
-    /// of the upstream's own limit and of the limit on cold upstreams have room.
+    /// Reports whether an upstream can take one more request: it wants no pause, a connection is available, and
+    /// this host's shares of the upstream's own limit and of the limit on cold upstreams have room.
     pub(crate) fn has_room(&self, now: Instant, pool: &Pool, upstream: &Upstream) -> bool {
-        self.admits_limited(now, upstream)
+        upstream.pause_end(now).is_none()
+            && self.admits_limited(now, upstream)
             && self.admits_cold(now, pool, upstream)
             && self
                 .connections
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use slog::{Discard, Logger, o};
 use tokio::io::AsyncReadExt;
@@ -17,6 +17,7 @@
 
 use super::answer::AttemptGuard;
 use super::connect::{CallError, Endpoint};
+use super::directives::apply_directives;
 use super::state::Gateway;
 use super::watch::apply_catalog;
 use crate::catalog::{Announcement, Phase, Pool};
@@ -32,6 +33,26 @@
     Rc::new(Gateway::new(settings, Logger::root(Discard, o!())))
 }
 
+/// Announces an upstream that stays cold for a time, and returns its name.
+fn announce(gateway: &Gateway, now: Instant, cold_left: Duration) -> UpstreamName {
+    let name: UpstreamName = "u".parse().expect("valid name");
+    gateway.fleet.borrow_mut().announce(
+        now,
+        Announcement {
+            upstream: name.clone(),
+            pool: "p".parse().expect("valid name"),
+            address: "127.0.0.1:6".parse().expect("valid address"),
+            zone: "z".parse().expect("valid name"),
+            slots: 4,
+            phase: Phase::Ready,
+            cold_left,
+            incarnation: 1,
+            sequence: 1,
+        },
+    );
+    name
+}
+
 /// Guards against replacing the configuration in force by an older one that is read later, or by one that can't
 /// be decoded.
 #[tokio::test]
@@ -72,21 +93,7 @@
 async fn requests_awaiting_a_connection_count_against_cold_limit() {
     let gateway = gateway();
     let now = Instant::now();
-    let name: UpstreamName = "u".parse().expect("valid name");
-    gateway.fleet.borrow_mut().announce(
-        now,
-        Announcement {
-            upstream: name.clone(),
-            pool: "p".parse().expect("valid name"),
-            address: "127.0.0.1:6".parse().expect("valid address"),
-            zone: "z".parse().expect("valid name"),
-            slots: 4,
-            phase: Phase::Ready,
-            cold_left: Duration::from_secs(3),
-            incarnation: 1,
-            sequence: 1,
-        },
-    );
+    let name = announce(&gateway, now, Duration::from_secs(3));
     let pool = Pool {
         name: "p".parse().expect("valid name"),
         connections: 100,
@@ -110,6 +117,41 @@
     assert!((1..=6).contains(&guards.len()), "{} requests", guards.len());
 }
 
+/// Guards against a pause after a response other than 503, with a malformed `Retry-After`, or without end.
+#[tokio::test]
+async fn retry_after_starts_a_pause_only_with_503() {
+    let now = Instant::now();
+    let day = Duration::from_hours(24);
+    for (status, text, end_ms) in [
+        (503, "1.5", Some(1_500)),
+        (503, "0", None),
+        (503, "-1", None),
+        (503, "soon", None),
+        (503, "1e300", Some(3_600_000)),
+        (429, "1", None),
+        (200, "1", None),
+    ] {
+        let gateway = gateway();
+        let name = announce(&gateway, now, Duration::ZERO);
+        let status = StatusCode::from_u16(status).expect("valid status");
+        let mut headers = HeaderMap::new();
+        headers.insert("retry-after", text.parse().expect("valid header value"));
+        apply_directives(&gateway, now, &name, status, &headers);
+        let end = gateway.fleet.borrow().get(&name).and_then(|u| u.pause_end(now));
+        assert_eq!(
+            end.map(|end| end - now),
+            end_ms.map(Duration::from_millis),
+            "{status} {text}"
+        );
+        let is_over = gateway
+            .fleet
+            .borrow()
+            .get(&name)
+            .is_some_and(|u| u.pause_end(now + day).is_none());
+        assert!(is_over, "{status} {text}");
+    }
+}
+
 /// Receive buffer of the test server.
 const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// Size of a body that is larger than this buffer and the kernel's other buffers of a connection together.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName};
 
 use crate::fleet::LoadReport;
@@ -34,6 +35,8 @@
 /// Present in the responses of an upstream that is leaving.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
+/// Longest pause that an upstream is granted; a longer one is a mistake.
+const PAUSE_MAX: Duration = Duration::from_hours(1);
 /// Slowness of an upstream that reports none.
 const TYPICAL_SLOWNESS_PERCENT: u32 = 100;
 
@@ -54,6 +57,13 @@
     headers.get(LEAVING).is_some_and(|value| value.as_bytes() == b"1")
 }
 
+/// Parses the time for which an upstream that refuses a request wants no further ones, in seconds; `None` if the
+/// header is missing or malformed.
+pub(crate) fn read_pause(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (seconds >= 0.0).then(|| Duration::from_secs_f64(seconds.min(PAUSE_MAX.as_secs_f64())))
+}
+
 /// Parses an upstream's load; `None` if the header is missing or malformed.
 pub(crate) fn read_load(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(LOAD)?.to_str().ok()?;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -102,8 +102,13 @@
     Limit,
     /// The server states in its responses that it is leaving, and announces nothing.
     Leave,
+    /// Requests are refused with 503 and `Retry-After` of [`PAUSE_SECONDS`].
+    Pause,
 }
 
+/// Time for which a server that refuses requests wants none, in seconds.
+pub const PAUSE_SECONDS: u32 = 2;
+
 /// Requests per second that a server names as its limit.
 pub const NAMED_LIMIT: u32 = 4;
 
@@ -150,6 +155,8 @@
     Release(u16, u16, u64),
     /// The server started to run the request with this id, for this key if the server is sharded.
     Run(String, Option<u16>),
+    /// The server refused the request with this id and wants no further ones for a time.
+    Refuse(String),
     /// The process of the server was killed; logged by whoever killed it.
     End,
 }
@@ -415,7 +422,10 @@
         if expected != self.config.name || !may_run {
             return self.build_reply(StatusCode::MISDIRECTED_REQUEST, &id, false, Bytes::new());
         }
-        if fault == ServerFault::Shed {
+        if fault == ServerFault::Pause {
+            self.log_event(ServerEvent::Refuse(id.clone()));
+        }
+        if matches!(fault, ServerFault::Shed | ServerFault::Pause) {
             return self.build_reply(StatusCode::SERVICE_UNAVAILABLE, &id, false, Bytes::new());
         }
         let Ok(_slot) = self.slots.acquire().await else {
@@ -485,6 +495,7 @@
         let directive = match self.lock().fault {
             ServerFault::Limit => Some(("server-limit", NAMED_LIMIT.into())),
             ServerFault::Leave => Some(("server-leaving", HeaderValue::from_static("1"))),
+            ServerFault::Pause => Some(("retry-after", PAUSE_SECONDS.into())),
             _ => None,
         };
         response
--- a/standins/src/soak/judge.rs
+++ b/standins/src/soak/judge.rs
@@ -167,7 +167,7 @@
                     lease.until = record.at;
                 }
             }
-            ServerEvent::Run(..) => {}
+            ServerEvent::Run(..) | ServerEvent::Refuse(_) => {}
         }
         let (expired, remaining) = std::mem::take(&mut active)
             .into_iter()
--- a/standins/tests/gateway/directives.rs
+++ b/standins/tests/gateway/directives.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use standins::server::{EventRecord, NAMED_LIMIT, ServerEvent, unix_ms};
+use standins::server::{EventRecord, NAMED_LIMIT, PAUSE_SECONDS, ServerEvent, unix_ms};
 use tempfile::TempDir;
 
 use super::{Cluster, set_fault};
@@ -19,22 +19,30 @@
 const LEARN_MS: u64 = 500;
 /// The bound `drain`, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
+/// Time in which requests may still be on their way to a server that wants a pause, in milliseconds.
+const PAUSE_SLACK_MS: u64 = 500;
+/// Number of requests of a gateway that may reach such a server in its pause.
+const PAUSED_MAX: usize = 2;
 /// Length of the windows in which requests to a server with a limit are counted, in milliseconds.
 const LIMIT_WINDOW_MS: u64 = 4_000;
 
-/// Returns when requests reached a server, in Unix milliseconds.
-fn read_arrivals(log: &Path, server: &str) -> Vec<u64> {
+/// Returns when requests reached a server, in Unix milliseconds, and their ids.
+fn read_arrivals(log: &Path, server: &str) -> Vec<(u64, String)> {
     let text = std::fs::read_to_string(log).expect("an event log");
     let records = text
         .lines()
         .filter_map(|line| serde_json::from_str::<EventRecord>(line).ok());
-    let is_arrival = |record: &EventRecord| record.server == server && matches!(record.event, ServerEvent::Run(..));
-    records.filter(is_arrival).map(|record| record.at).collect()
+    let records = records.filter(|record| record.server == server);
+    let arrivals = records.filter_map(|record| match record.event {
+        ServerEvent::Run(id, _) | ServerEvent::Refuse(id) => Some((record.at, id)),
+        _ => None,
+    });
+    arrivals.collect()
 }
 
 /// Sets the fault of the first server of `renovaciones`, sends load for a time, and returns when the fault was
-/// set and when requests reached this server.
-fn run_load(fault: &str, time: Duration) -> (u64, Vec<u64>) {
+/// set and which requests reached this server when.
+fn run_load(fault: &str, time: Duration) -> (u64, Vec<(u64, String)>) {
     let directory = TempDir::new().expect("a temporary directory");
     let log = directory.path().join("events");
     let log_name = log.display().to_string();
@@ -67,16 +75,43 @@
 fn leaving_server_gets_no_requests() {
     let (set_at, arrivals) = run_load("leave", Duration::from_secs(6));
     // With this load, each gateway has a response of the server within a few requests.
-    let late = arrivals.iter().filter(|at| **at > set_at + LEARN_MS + DRAIN_MS).count();
+    let late = arrivals.iter().filter(|(at, _)| *at > set_at + LEARN_MS + DRAIN_MS);
+    let late = late.count();
     assert_eq!(late, 0, "{} requests after the fault", arrivals.len());
 }
 
+/// Guards against sending requests to a server that has refused one with 503 and `Retry-After`, before that time is
+/// over: it wants nothing from this gateway, and callers wait for a refusal.
+#[test]
+fn server_that_wants_a_pause_gets_no_requests() {
+    let (set_at, arrivals) = run_load("pause", Duration::from_secs(7));
+    let pause = u64::from(PAUSE_SECONDS) * 1_000;
+    for gateway in 0..GATEWAYS {
+        let prefix = format!("load-{gateway}-");
+        let own = arrivals
+            .iter()
+            .filter(|(at, id)| *at > set_at && id.starts_with(&prefix));
+        let times: Vec<u64> = own.map(|(at, _)| *at).collect();
+        for refused in &times {
+            let window = refused + PAUSE_SLACK_MS..refused + pause;
+            let count = times.iter().filter(|at| window.contains(at)).count();
+            assert!(
+                count <= PAUSED_MAX,
+                "gateway {gateway}: {count} requests in the pause, {} in all",
+                times.len()
+            );
+        }
+        assert!(times.len() > 1, "gateway {gateway} doesn't try again");
+    }
+}
+
 /// Guards against sending a server more requests than one and a half times the limit that it names.
 #[test]
 fn server_gets_no_more_than_its_limit() {
     let (set_at, arrivals) = run_load("limit", Duration::from_secs(11));
     let limit = u64::from(NAMED_LIMIT) * LIMIT_WINDOW_MS / 1_000 * 3 / 2 + 5;
-    let late: Vec<u64> = arrivals.into_iter().filter(|at| *at >= set_at + STABLE_MS).collect();
+    let times = arrivals.into_iter().map(|(at, _)| at);
+    let late: Vec<u64> = times.filter(|at| *at >= set_at + STABLE_MS).collect();
     let counts = late.iter().map(|start| {
         let window = *start..start + LIMIT_WINDOW_MS;
         late.iter().filter(|at| window.contains(at)).count()
