Count the crash of a server that is heard from again before its end is noticed

What callers saw: servers that hang under a request and restart within a second or two went on getting it.

Cause: the end of a silent server was taken as when it was last heard from. If its new process responded to anything before the check failed, the crash seemed to last until then and overlapped the next ones, so it didn't count.

Change: a silent server ended, at the earliest, when the request was sent.

Ruled out: that this lets the loss of a zone block a frequent request (it was served within 3 s, so nothing counts).

Test: silent_ends_noticed_after_a_restart_block_request fails without the change.

--- a/src/fleet/runs.rs
+++ b/src/fleet/runs.rs
@@ -119,7 +119,6 @@
         let Some(activity) = self.upstreams.remove(upstream) else {
             return BTreeMap::new();
         };
-        let last_heard = |sent: Instant| activity.last_heard.map_or(sent, |at| at.max(sent));
         let completed = activity
             .completed
             .iter()
@@ -130,15 +129,11 @@
             .iter()
             .filter(|ended| now < ended.at + UNRESOLVED_EXPIRY)
             .map(|ended| {
-                // Silence doesn't show when the upstream ended.
-                let end = if ended.is_broken {
-                    ended.at
-                } else {
-                    last_heard(ended.run.sent)
-                };
+                // Silence doesn't show when the upstream ended; a new process may have been heard from since.
+                let end = if ended.is_broken { ended.at } else { ended.run.sent };
                 (ended.run, end)
             });
-        let running = activity.running.iter().map(|run| (*run, last_heard(run.sent)));
+        let running = activity.running.iter().map(|run| (*run, run.sent));
         let mut crashes: BTreeMap<Fingerprint, Crash> = BTreeMap::new();
         for (Run { request, sent }, ended) in completed.chain(unresolved).chain(running) {
             let crash = crashes.entry(request).or_insert_with(|| Crash {
--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -69,7 +69,7 @@
     pub(crate) heard: Option<Instant>,
     /// When the request was sent to the upstream.
     pub(crate) sent: Instant,
-    /// When the upstream ended; at the earliest when it was last heard from.
+    /// When the upstream ended; if it fell silent, the earliest possible time.
     pub(crate) ended: Instant,
     /// When the end was noticed.
     pub(crate) noticed: Instant,
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -355,6 +355,25 @@
     }
 }
 
+/// Guards against missing crashes of upstreams that fell silent and are heard from again, as new processes, before
+/// their ends are noticed: the request seemed to run until then (soak, seed 1).
+#[test]
+fn silent_ends_noticed_after_a_restart_block_request() {
+    let start = Instant::now();
+    let mut view = CrashView::default();
+    let upstreams: Vec<UpstreamName> = (0..3).map(|number| name(&format!("u{number}"))).collect();
+    for (number, upstream) in (0..).zip(&upstreams) {
+        let sent = start + ms(700 * number);
+        view.run(sent, (sent + ms(800), RunEnd::Abandoned), upstream, poisonous());
+    }
+    for (number, upstream) in (0..).zip(&upstreams) {
+        let sent = start + ms(700 * number);
+        view.hear(sent + ms(1_300), upstream);
+        view.end_upstream(sent + ms(1_500), upstream);
+    }
+    assert!(view.suspects.is_blocked(poisonous()));
+}
+
 /// Guards against a complete response that clears a request although the upstream ended right after it.
 #[test]
 fn ends_after_the_response_block_request() {
