End responses that go on at the deadline

What callers saw: a response whose body had no end went on until the caller closed; the gateway and the server were busy with it as long.

Cause: the deadline covered the response's head only.

Change: a body ends at the request's deadline, and the caller's and the server's connections close, so that it doesn't look complete. Heads without end (garbage, header lines, 1xx responses) ended at the deadline before.

Test: hostile::response_without_end_is_closed_at_the_deadline; its three cases with bodies fail without the change (the first one: no end after 2.5 s at a deadline of 2 s).

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,17 +1,20 @@
 //! Responses to callers: streamed from an upstream, or a refusal of this host.
 
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use displaydoc::Display;
 use http::header::{CONNECTION, HeaderName, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use slog::warn;
-use tokio::time::Instant;
+use thiserror::Error;
+use tokio::time::{Instant, Sleep};
 
 use super::attempt::SILENCE_MIN;
 use super::connections::{Sender, read_keep_alive};
@@ -98,7 +101,7 @@
         self.keep_alive = read_keep_alive(headers);
     }
 
-    fn log_broken_body(&self, error: &hyper::Error) {
+    fn log_broken_body(&self, error: &BodyError) {
         warn!(self.gateway.log, "response broke off within its body; the caller's connection is closed";
             "request" => self.request.to_str().unwrap_or_default(), "upstream" => %self.upstream, "error" => %error);
     }
@@ -140,18 +143,34 @@
     Upstream {
         body: Incoming,
         guard: AttemptGuard,
+        /// Ends at the request's deadline.
+        timer: Pin<Box<Sleep>>,
     },
 }
 
+/// Why the body of a response is incomplete.
+#[derive(Debug, Display, Error)]
+pub(crate) enum BodyError {
+    /// upstream broke off: {0}
+    Upstream(hyper::Error),
+    /// deadline passed
+    DeadlineExceeded,
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
-            Self::Upstream { body, guard } => {
-                let frame = Pin::new(&mut *body).poll_frame(cx);
+            Self::Upstream { body, guard, timer } => {
+                // First, as a body without end may always have a frame ready.
+                if timer.as_mut().poll(cx).is_ready() {
+                    guard.log_broken_body(&BodyError::DeadlineExceeded);
+                    return Poll::Ready(Some(Err(BodyError::DeadlineExceeded)));
+                }
+                let frame = Pin::new(&mut *body).poll_frame(cx).map_err(BodyError::Upstream);
                 if matches!(frame, Poll::Ready(None))
                     || (matches!(frame, Poll::Ready(Some(Ok(_)))) && body.is_end_stream())
                 {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use http_body::Body;
 use hyper::body::Incoming;
 use slog::warn;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
 use super::connections::Sender;
@@ -311,7 +311,11 @@
     }
     let has_body = ctx.head.method != Method::HEAD && !body.is_end_stream();
     let body = if has_body {
-        ResponseBody::Upstream { body, guard }
+        ResponseBody::Upstream {
+            body,
+            guard,
+            timer: Box::pin(sleep_until(ctx.deadline)),
+        }
     } else {
         ResponseBody::Empty
     };
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod directives;
+mod hostile;
 mod support;
 
 use std::collections::BTreeMap;
