Leave out servers that announce port 0

What callers saw: nothing; a reconnect fails at once and another server is chosen, at the price of an attempt.

Cause: an entry with port 0 was taken as a server.

--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -35,13 +35,16 @@
 /// # Errors
 ///
 /// Returns a description of the fault if the name or the record doesn't parse, or the upstream has
-/// no slots.
+/// no slots or no port.
 pub(crate) fn decode_server(key: &str, text: &[u8]) -> Result<Announcement, String> {
     let upstream: UpstreamName = key.parse().map_err(|e| format!("upstream name: {e}"))?;
     let wire = serde_json::from_slice::<WireServer>(text).map_err(|e| e.to_string())?;
     if wire.slots == 0 {
         return Err("slots: expected at least 1, found 0".to_owned());
     }
+    if wire.address.port() == 0 {
+        return Err("address: expected a port from 1 to 65535, found 0".to_owned());
+    }
     Ok(Announcement {
         upstream,
         pool: wire.service,
