Let servers of the soak state what they take, and check that gateways follow

What it shows that nothing showed before: limits, pauses and leaving servers under the soak's other faults, and in a phase without other faults a check of each: a server with a limit of 4/s gets at most 29 requests in 4 s, one that wants a pause at most two requests of a gateway in it, and one that leaves none later than drain.

A third of the server faults are of these kinds. They are drawn from a generator of their own, so that seeds from before inject the same other faults. check_directives_reports_each_kind shows that each check reports.

--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! while the outcomes of callers' requests and the events of servers are recorded.
 
 mod crash;
+mod directives;
 mod judge;
 mod load;
 mod proxy;
@@ -9,6 +10,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -25,6 +27,7 @@
 
 use crate::server::{EventRecord, ServerEvent, append_event, append_keyed_record};
 use crash::{CRASH_ID, check_crashes};
+use directives::check_directives;
 use judge::{check_leases, check_requests};
 use load::{Outcomes, call, connect, run_caller};
 use proxy::{LinkFault, Proxy};
@@ -110,6 +113,8 @@
     /// Path of the event log, which all servers share.
     event_log: PathBuf,
     rng: Pcg64Mcg,
+    /// Separate from `rng`, so that seeds from before these faults inject the same other faults.
+    directive_rng: Pcg64Mcg,
     start: Instant,
     store: Process,
     /// Addresses at which callers reach the gateways, kept across restarts.
@@ -121,6 +126,8 @@
     server_proxies: Vec<Proxy>,
     servers: Vec<Option<Process>>,
     pending: Vec<ScheduledRecovery>,
+    /// Servers that have stated that they are leaving.
+    left: BTreeSet<usize>,
     /// How servers end under a request that crashes them.
     crash_mode: &'static str,
     /// Version of the configuration that was published last.
@@ -167,6 +174,7 @@
     if let Err(error) = harness.wait_until_served(RECOVERY_TIMEOUT).await {
         harness.report.violations.push(format!("after the last fault: {error}"));
     }
+    let directive_phase = harness.run_directive_phase().await?;
     harness.send_crash_requests().await?;
     stop_tx.send_replace(true);
     for task in caller_tasks {
@@ -178,6 +186,7 @@
     let mut report = std::mem::take(&mut harness.report);
     report.violations.extend(check_requests(&outcomes, &records));
     report.violations.extend(check_leases(&records));
+    report.violations.extend(check_directives(&records, directive_phase));
     report.violations.extend(check_crashes(&events));
     report.requests = outcomes.len();
     report.served = outcomes.iter().filter(|o| matches!(o.response, Some((200, _)))).count();
@@ -255,6 +264,7 @@
             folder: folder.to_owned(),
             event_log,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            directive_rng: Pcg64Mcg::seed_from_u64(!seed),
             start: Instant::now(),
             store,
             caller_addresses: Vec::new(),
@@ -263,6 +273,7 @@
             server_proxies: Vec::new(),
             servers: Vec::new(),
             pending: Vec::new(),
+            left: BTreeSet::new(),
             crash_mode: CRASH_MODES[usize::try_from(seed % 5).unwrap_or_default()],
             version: 0,
             report: Report::default(),
@@ -406,6 +417,14 @@
         match recovery {
             Recovery::RestoreServerLink(index) => self.server_proxies[index].set_fault(LinkFault::None),
             Recovery::RestoreStoreLink(index) => self.store_proxies[index].set_fault(LinkFault::None),
+            // A server that stated that it is leaving gets no requests until it starts again.
+            Recovery::ClearServerFault(index) if self.left.remove(&index) => {
+                if self.servers[index].take().is_some() {
+                    let name = server_name(index);
+                    append_event(&self.event_log, &name, ServerEvent::End).map_err(|e| e.to_string())?;
+                    return self.start_server(index);
+                }
+            }
             Recovery::ClearServerFault(index) => self.set_server_fault(index, "none").await,
             Recovery::ClearStoreFault => post(self.store.address, "/standin/fault", &json!({})).await,
             Recovery::ResumeGateway(index) => return self.signal_gateway(index, "CONT"),
@@ -469,7 +488,11 @@
                     "drain",
                 ];
                 let fault = faults[self.rng.random_range(0..faults.len())];
+                let fault = self.draw_directive().unwrap_or(fault);
                 self.set_server_fault(server, fault).await;
+                if fault == "leave" {
+                    self.left.insert(server);
+                }
                 Recovery::ClearServerFault(server)
             }
             5 => {
@@ -528,6 +551,12 @@
         Ok(())
     }
 
+    /// Draws a fault in which a server states what it takes, for a third of the server faults.
+    fn draw_directive(&mut self) -> Option<&'static str> {
+        let directives = ["limit", "leave", "pause"];
+        directives.get(self.directive_rng.random_range(0..9)).copied()
+    }
+
     /// Stops a gateway with SIGTERM, as planned maintenance does. Callers keep using their connections meanwhile.
     async fn stop_gateway(&mut self, index: usize) -> Result<(), String> {
         let Some(mut gateway) = self.gateways[index].take() else {
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -1,4 +1,5 @@
 use super::crash::check_crashes;
+use super::directives::{DirectivePhase, check_directives};
 use super::judge::{Outcome, check_leases, check_requests};
 use crate::server::{EventRecord, ServerEvent};
 
@@ -102,3 +103,35 @@
         "the third crash is the last arrival"
     );
 }
+
+/// Guards against a check that misses servers which get what they have stated that they don't take.
+#[test]
+fn check_directives_reports_each_kind() {
+    let phase = DirectivePhase { start: 0, end: 7_500 };
+    let run = |at: u64, server: &str, id: &str| record(at, server, ServerEvent::Run(id.to_owned(), None));
+    let refuse = |at: u64, id: &str| record(at, "renovaciones-4", ServerEvent::Refuse(id.to_owned()));
+    let limited = |count: u64| {
+        (0..count)
+            .map(|n| run(3_000 + n, "placas-0", "c1-1"))
+            .collect::<Vec<_>>()
+    };
+    assert!(check_directives(&limited(29), phase).is_empty());
+    assert_eq!(check_directives(&limited(30), phase).len(), 1);
+    assert!(check_directives(&[run(3_000, "renovaciones-5", "c1-1")], phase).is_empty());
+    assert_eq!(
+        check_directives(&[run(3_001, "renovaciones-5", "c1-1")], phase).len(),
+        1
+    );
+    let paused = [
+        refuse(0, "c0-1"),
+        refuse(600, "c3-1"),
+        refuse(700, "c0-2"),
+        refuse(800, "c1-1"),
+    ];
+    assert!(
+        check_directives(&paused, phase).is_empty(),
+        "one of them is of another gateway"
+    );
+    let paused = [paused.to_vec(), vec![refuse(900, "c3-2")]].concat();
+    assert_eq!(check_directives(&paused, phase).len(), 1);
+}
