Send no grant after a health check if the grantor is no longer confirmed

Cause: a grant that follows a health check leaves up to 0.93 s after it was decided on, and in between only the epoch was checked. The next grantor assumes that the last grant left within one call's time of the moment at which this host had to stop.

Change: after the check the host must still be confirmed, and must not have been frozen; else the grant counts as not sent.

Ruled out: leaving the check out (a cold owner would get the load of a warm one).

Test: gateway::tests::grants::grant_is_not_sent_after_its_permission_has_expired, which fails without the change (one grant arrives).

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -122,7 +122,7 @@
     }
 }
 
-struct SaveRequest {
+pub(super) struct SaveRequest {
     epoch: u64,
     table: KeyTable,
 }
@@ -341,7 +341,7 @@
     first.map_or(DEFAULT_LATENCY, |route| gateway.typical_latency(route))
 }
 
-fn start_action(
+pub(super) fn start_action(
     gateway: &Rc<Gateway>,
     epoch: u64,
     pool: &PoolName,
@@ -372,7 +372,13 @@
             spawn_local(async move {
                 if check_health {
                     check_cold(&gateway, &pool, &holder).await;
-                    if !gateway.grants.is_grantor_of_epoch(epoch) {
+                    if !may_send_grant(&gateway, epoch, &pool) {
+                        warn!(gateway.log, "grant not sent: this host is no longer confirmed as the grantor";
+                            "pool" => %pool, "upstream" => %holder.upstream, "keys" => %range, "fence" => fence);
+                        let now = Instant::now();
+                        with_grantor(&gateway, epoch, &pool, |grantor| {
+                            grantor.record_grant(now, &holder, fence, now, GrantOutcome::NotSent);
+                        });
                         return;
                     }
                 }
@@ -413,6 +419,18 @@
     }
 }
 
+/// Reports whether this host may still send a grant of an epoch.
+fn may_send_grant(gateway: &Gateway, epoch: u64, pool: &PoolName) -> bool {
+    let active = gateway.grants.active.borrow();
+    let active = active
+        .as_ref()
+        .filter(|active| active.epoch == epoch && !active.needs_confirmation);
+    active.is_some_and(|active| {
+        let pool = active.pools.get(pool);
+        pool.is_some_and(|pool| pool.grantor.may_send_commands(Instant::now(), &active.confirmations))
+    })
+}
+
 /// Applies the result of an action to the grantor of a pool, if this host is still the grantor of the
 /// epoch in which the action was started.
 fn with_grantor(gateway: &Gateway, epoch: u64, pool: &PoolName, apply: impl FnOnce(&mut Grantor)) {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,4 +1,5 @@
 mod feed;
+mod grants;
 mod peers;
 
 use std::io::ErrorKind;
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -225,7 +225,7 @@
     }
 
     /// Reports whether this grantor may send commands: no later grantor can assume yet that it has stopped.
-    pub(super) fn may_send_commands(&self, now: Instant, confirmations: &Confirmations) -> bool {
+    pub(crate) fn may_send_commands(&self, now: Instant, confirmations: &Confirmations) -> bool {
         confirmations.permit_grants(now, &self.saved_witnesses)
             && (!self.is_saving || confirmations.permit_grants(now, &self.saving_witnesses))
     }
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -28,6 +28,8 @@
 pub(crate) use grantor::{Action, GrantOutcome, Grantor, LeaseTiming, ReleaseOutcome};
 pub(crate) use plan::{Candidate, Move, plan_balance, plan_orphans};
 pub(crate) use rates::{KeyCounts, KeyRates};
+#[cfg(test)]
+pub(crate) use succession::STORE_OUTAGE_LIMIT;
 pub(crate) use succession::{Confirmations, HostIncarnation, Predecessor, Predecessors, choose_witnesses};
 
 /// Number of keys; they range from 0 to 65535.
