Keep room for suspects while many requests are suspected of one crash

What callers saw: nothing yet; found while reading the change. In a large deployment that loses a zone, a request that crashes servers would not have been blocked.

A full table took no new ones.

Change: the suspect of a single crash that changed least recently makes room.

Ruled out: a larger table only (it fills as well).

Test: poisonous_request_is_blocked_among_many_suspects fails without the change.

--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -175,9 +175,18 @@
         suspect.count_crashes()
     }
 
-    /// Returns the suspect of a request, which is added unless there are too many.
+    /// Removes the suspect of a single crash that changed least recently. Reports whether there is one.
+    fn evict(&mut self) -> bool {
+        let has_single_crash = |suspect: &Suspect| suspect.crashes.values().map(Vec::len).sum::<usize>() <= 1;
+        let single = self.entries.iter().filter(|(_, suspect)| has_single_crash(suspect));
+        let oldest = single.min_by_key(|(_, suspect)| suspect.changed);
+        let oldest = oldest.map(|(&request, _)| request);
+        oldest.is_some_and(|request| self.entries.remove(&request).is_some())
+    }
+
+    /// Returns the suspect of a request, which is added unless there are too many with more than one crash.
     fn suspect_mut(&mut self, now: Instant, request: Fingerprint) -> Option<&mut Suspect> {
-        if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&request) {
+        if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&request) && !self.evict() {
             return None;
         }
         let suspect = self.entries.entry(request).or_insert_with(|| Suspect {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -485,6 +485,26 @@
     assert!(trials.is_empty());
 }
 
+/// Guards against missing a poisonous request because too many others ran at upstreams that ended, as when a zone of
+/// a large deployment is lost.
+#[test]
+fn poisonous_request_is_blocked_among_many_suspects() {
+    let start = Instant::now();
+    let mut view = CrashView::default();
+    for number in 0..5_000 {
+        let (sent, upstream) = (start + ms(number), name(&format!("u{}", number % 80)));
+        let request = Fingerprint::of("GET", &format!("/{number}"), b"");
+        view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, request);
+        view.end_upstream(sent + ms(100), &upstream);
+    }
+    for number in 0..3 {
+        let (sent, upstream) = (start + ms(6_000 + 700 * number), name(&format!("v{number}")));
+        view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, poisonous());
+        view.end_upstream(sent + ms(100), &upstream);
+    }
+    assert!(view.suspects.is_blocked(poisonous()));
+}
+
 /// Guards against reports that are sent without end: each crash is reported to all hosts, so their number grows
 /// with the number of hosts and of crashes.
 #[test]
