Check an upstream again if that was requested during the gap after a check

What callers saw: nothing yet; found while reading the change.

Cause: a request for a check was dropped while the upstream was in the list of those being checked.

Change: it is kept, and made when the gap is over.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,7 +1,7 @@
 //! Finds out whether upstreams have ended while they ran requests, and shares the suspects among the hosts.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,8 +41,8 @@
 pub(crate) struct CrashWatch {
     queue: RefCell<BTreeSet<UpstreamName>>,
     queued: Notify,
-    /// Upstreams that are being checked.
-    checking: RefCell<BTreeSet<UpstreamName>>,
+    /// Upstreams that are being checked, each with whether another check has been requested meanwhile.
+    checking: RefCell<BTreeMap<UpstreamName, bool>>,
     reports_due: Notify,
 }
 
@@ -132,7 +132,11 @@
         gateway.crash_watch.queued.notified().await;
         let queue = std::mem::take(&mut *gateway.crash_watch.queue.borrow_mut());
         for upstream in queue {
-            if gateway.crash_watch.checking.borrow_mut().insert(upstream.clone()) {
+            let mut checking = gateway.crash_watch.checking.borrow_mut();
+            if let Some(is_requested) = checking.get_mut(&upstream) {
+                *is_requested = true;
+            } else {
+                checking.insert(upstream.clone(), false);
                 spawn_local(check_upstream(Rc::clone(&gateway), upstream));
             }
         }
@@ -153,7 +157,9 @@
         None => {}
     }
     sleep(CHECK_GAP).await;
-    gateway.crash_watch.checking.borrow_mut().remove(&upstream);
+    if gateway.crash_watch.checking.borrow_mut().remove(&upstream) == Some(true) {
+        request_check(&gateway, &upstream);
+    }
 }
 
 type CheckResult = Result<Response<Bytes>, CallError>;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,4 @@
+mod crashes;
 mod feed;
 mod grants;
 mod peers;
@@ -34,23 +35,26 @@
     Rc::new(Gateway::new(settings, Logger::root(Discard, o!())))
 }
 
+/// Returns the announcement of an upstream that stays cold for a time.
+pub(super) fn announcement(cold_left: Duration) -> Announcement {
+    Announcement {
+        upstream: "u".parse().expect("valid name"),
+        pool: "p".parse().expect("valid name"),
+        address: "127.0.0.1:6".parse().expect("valid address"),
+        zone: "z".parse().expect("valid name"),
+        slots: 4,
+        phase: Phase::Ready,
+        cold_left,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
 /// Announces an upstream that stays cold for a time, and returns its name.
 fn announce(gateway: &Gateway, now: Instant, cold_left: Duration) -> UpstreamName {
-    let name: UpstreamName = "u".parse().expect("valid name");
-    gateway.fleet.borrow_mut().announce(
-        now,
-        Announcement {
-            upstream: name.clone(),
-            pool: "p".parse().expect("valid name"),
-            address: "127.0.0.1:6".parse().expect("valid address"),
-            zone: "z".parse().expect("valid name"),
-            slots: 4,
-            phase: Phase::Ready,
-            cold_left,
-            incarnation: 1,
-            sequence: 1,
-        },
-    );
+    let announcement = announcement(cold_left);
+    let name = announcement.upstream.clone();
+    gateway.fleet.borrow_mut().announce(now, announcement);
     name
 }
 
