Answer every request that a stopping host has taken before it ends

Two faults: the drain began only when the store had answered the departure of the host, which took a second while the store was silent, so requests were taken for longer; and nothing compared the time that a request needs with the time that is left, neither before the first attempt nor before a retry.

Change: a shutdown schedule. The departure no longer delays the drain. A request is sent, or sent again, only if three times the typical latency of its route fits before the end; otherwise it is refused as not run (503, `host-stopping`) while that is true. Upstreams get a deadline before the end of the process, so they respond in time themselves. What still has no response then gets one of this host. The last save of the counts is bounded.

Ruled out: new connections, which hyper closes unread once the drain has begun.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -158,6 +158,10 @@
             ),
             "follow `keys move`, `grant failed` and `owners of keys known`; a grantor must be running",
         ),
+        "host-stopping" => (
+            "the host was shutting down, and no response was expected before its process ended".to_owned(),
+            "follow `stopping` to `stopped` in its log; a load balancer that still sends requests then is slow",
+        ),
         "no-upstream" => (
             format!("pool {pool} had no upstream in service"),
             "look for zones out of service and for `upstream entry gone` and `upstream left out`",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -137,7 +137,7 @@
 async fn send(gateway: &Gateway, ctx: &RequestContext, guard: &mut AttemptGuard, sender: &mut Sender) -> SendResult {
     let now = Instant::now();
     let upstream = &guard.upstream.clone();
-    let request = build_request(ctx, upstream, now);
+    let request = build_request(gateway, ctx, upstream, now);
     guard.start_run(now, ctx.fingerprint);
     let response = sender.try_send_request(request);
     tokio::pin!(response);
@@ -197,7 +197,12 @@
     }
 }
 
-fn build_request(ctx: &RequestContext, upstream: &UpstreamName, now: Instant) -> Request<BufferedBody> {
+fn build_request(
+    gateway: &Gateway,
+    ctx: &RequestContext,
+    upstream: &UpstreamName,
+    now: Instant,
+) -> Request<BufferedBody> {
     let mut request = Request::new(ctx.body.clone());
     *request.method_mut() = ctx.head.method.clone();
     *request.version_mut() = Version::HTTP_11;
@@ -205,7 +210,9 @@
     *request.uri_mut() = path.map_or_else(Uri::default, Uri::from);
     let headers = request.headers_mut();
     headers.clone_from(&ctx.head.headers);
-    let left = ctx.deadline.saturating_duration_since(now).as_millis();
+    let exit = gateway.shutdown.get().map(|schedule| schedule.response_deadline());
+    let deadline = exit.map_or(ctx.deadline, |exit| ctx.deadline.min(exit));
+    let left = deadline.saturating_duration_since(now).as_millis();
     headers.insert(DEADLINE, HeaderValue::from(u64::try_from(left).unwrap_or(u64::MAX)));
     if let Ok(name) = HeaderValue::from_str(upstream.as_str()) {
         headers.insert(EXPECTED_INSTANCE, name);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -34,6 +34,9 @@
 /// Range that `Retry-After` is drawn from while the host has no configuration or list of upstreams.
 const NOT_READY_RETRY_AFTER_MS: (u64, u64) = (100, 400);
 
+/// Range that `Retry-After` is drawn from while the host stops: other hosts can take the request at once.
+const STOPPING_RETRY_AFTER_MS: (u64, u64) = (5, 30);
+
 /// Body of a request, completely read before the first attempt so that a retry can send it again.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BufferedBody(Option<Bytes>);
@@ -83,17 +86,34 @@
     pub(super) is_recorded: bool,
 }
 
+impl RequestContext {
+    /// Returns the verdict if the request ends now, without a response to the attempt under way.
+    fn verdict_if_ended(&self) -> Verdict {
+        if self.is_attempting {
+            Verdict::MayHaveRun
+        } else {
+            self.verdict
+        }
+    }
+
+    /// Builds the refusal of a request that can't have a response of an upstream before this process ends.
+    fn refuse_at_exit(&self, gateway: &Gateway) -> Refusal {
+        let verdict = self.verdict_if_ended();
+        Refusal {
+            reason: Reason::HostStopping,
+            verdict,
+            retry_after: (verdict == Verdict::NotRun).then(|| draw_retry_after(gateway, STOPPING_RETRY_AFTER_MS)),
+        }
+    }
+}
+
 impl Drop for RequestContext {
     /// Counts and logs a cancelled request: its task is dropped, at any point, if the caller disconnects.
     fn drop(&mut self) {
         if self.is_recorded {
             return;
         }
-        let verdict = if self.is_attempting {
-            Verdict::MayHaveRun
-        } else {
-            self.verdict
-        };
+        let verdict = self.verdict_if_ended();
         count_request(&self.gateway, &self.route.name, verdict);
         info!(self.gateway.log, "caller left"; "request" => self.id.to_str().unwrap_or_default(),
             "route" => %self.route.name, "pool" => %self.pool, "verdict" => verdict.as_str(),
@@ -111,7 +131,12 @@
     let id = request.headers().get(REQUEST_ID).cloned();
     let response = match prepare(&gateway, arrived, id.clone(), request, &head_bytes).await {
         Ok(mut ctx) => {
-            let result = run_attempts(&gateway, &mut ctx).await;
+            let result = tokio::select! {
+                biased;
+                result = run_attempts(&gateway, &mut ctx) => Some(result),
+                () = gateway.wait_for_answers_end() => None,
+            };
+            let result = result.unwrap_or_else(|| Err(ctx.refuse_at_exit(&gateway)));
             ctx.is_recorded = true;
             record_result(&gateway, &ctx, &result);
             result.unwrap_or_else(|refusal| refusal.into_response(id.as_ref()))
@@ -267,6 +292,9 @@
 /// Makes attempts until one has a response for the caller or the request has to be refused.
 async fn run_attempts(gateway: &Rc<Gateway>, ctx: &mut RequestContext) -> Result<Response<ResponseBody>, Refusal> {
     loop {
+        if !gateway.admits_before_exit(Instant::now(), &ctx.route) {
+            return Err(ctx.refuse_at_exit(gateway));
+        }
         let upstream = choose_upstream(gateway, ctx).await?;
         // The request may have become blocked since it arrived.
         if gateway.suspects.borrow().is_blocked(ctx.fingerprint) {
@@ -318,6 +346,7 @@
         && !is_suspect
         && sent < ctx.route.attempts
         && now < ctx.deadline
+        && gateway.admits_before_exit(now, &ctx.route)
         && gateway.try_take_retry(now, &ctx.pool)
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use super::feed::Feed;
 use super::grants::Grants;
 use super::peers::Outbox;
+use super::stop::ShutdownSchedule;
 use crate::budget::{ColdLimiter, ColdQuota, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
@@ -105,12 +106,18 @@
     pub(crate) counts_key: RefCell<String>,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) is_stopping: Cell<bool>,
+    /// Schedule of the shutdown, once it has started.
+    pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Tells the connections of callers to close after the request in progress.
     pub(crate) drain_started: Notify,
     /// Set before `drain_started` is notified, for connections that are accepted afterwards.
     pub(crate) is_draining: Cell<bool>,
+    /// Tells the requests that have no response yet that this host has to respond now.
+    pub(crate) answers_due: Notify,
+    /// Set before `answers_due` is notified, for requests that arrive afterwards.
+    pub(crate) answers_ended: Cell<bool>,
 }
 
 impl Gateway {
@@ -151,9 +158,12 @@
             counts_key: RefCell::default(),
             rng: RefCell::new(rng),
             is_stopping: Cell::new(false),
+            shutdown: Cell::default(),
             caller_connections: Cell::new(0),
             drain_started: Notify::new(),
             is_draining: Cell::new(false),
+            answers_due: Notify::new(),
+            answers_ended: Cell::new(false),
         }
     }
 
@@ -327,6 +337,23 @@
         })
     }
 
+    /// Reports whether a request of a route may be sent to an upstream: unless this host is shutting down, or its
+    /// response is expected before the process ends.
+    pub(crate) fn admits_before_exit(&self, now: Instant, route: &Route) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_none_or(|schedule| schedule.admits(now, self.typical_latency(route)))
+    }
+
+    /// Waits until requests without a response have to get one of this host, because the process is about to end.
+    pub(crate) async fn wait_for_answers_end(&self) {
+        let due = self.answers_due.notified();
+        tokio::pin!(due);
+        due.as_mut().enable();
+        if !self.answers_ended.get() {
+            due.await;
+        }
+    }
+
     /// Records the latency of a response and returns its ratio to the route's typical latency.
     pub(crate) fn record_latency(&self, route: &Route, time: Duration) -> f64 {
         let mut routes = self.route_stats.borrow_mut();
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -5,7 +5,8 @@
 
 use slog::{info, warn};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::counting::save_counts;
 use super::election::leave;
@@ -14,11 +15,56 @@
 /// Time until the load balancer no longer uses a host that isn't ready: it probes once a second and
 /// removes the host after two failed probes.
 const UNREADY_NOTICE_DELAY: Duration = Duration::from_millis(2_600);
-/// Time reserved between the end of the drain and the forced end of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time reserved before the forced end of the process, for responses of this host and the last save of the counts.
+const ANSWER_MARGIN: Duration = Duration::from_millis(700);
+/// Time reserved for the last save of the counts.
+const SAVE_MARGIN: Duration = Duration::from_millis(500);
+/// Time reserved between the end of the process and its forced end.
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Time by which an upstream has to respond before this host does: a response takes some time to arrive.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+/// Time that a request may need, as a multiple of the typical latency of its route.
+const LATENCY_FACTOR: u32 = 3;
 /// Time between two checks for connections that are still open.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// When the steps of a shutdown are due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ShutdownSchedule {
+    /// Callers' connections close after the request in progress.
+    drain_start: Instant,
+    /// Requests that have no response yet get one of this host.
+    answers_end: Instant,
+    /// The counts are saved, even if responses are still being sent.
+    save_start: Instant,
+    /// The process ends.
+    exit: Instant,
+}
+
+impl ShutdownSchedule {
+    /// Plans a shutdown that starts now and has to end within a time.
+    pub(crate) fn new(now: Instant, time: Duration) -> Self {
+        let answers_end = now + time.saturating_sub(ANSWER_MARGIN);
+        Self {
+            drain_start: (now + UNREADY_NOTICE_DELAY).min(answers_end),
+            answers_end,
+            save_start: now + time.saturating_sub(SAVE_MARGIN),
+            exit: now + time.saturating_sub(EXIT_MARGIN),
+        }
+    }
+
+    /// Reports whether a request of a route with this typical latency may still be sent to an upstream: its response
+    /// is expected before the process ends.
+    pub(crate) fn admits(&self, now: Instant, typical: Duration) -> bool {
+        now + typical * LATENCY_FACTOR <= self.response_deadline()
+    }
+
+    /// Returns the time until which upstreams may work on requests, so that their responses can be forwarded.
+    pub(crate) fn response_deadline(&self) -> Instant {
+        self.answers_end - RESPONSE_MARGIN
+    }
+}
+
 /// Waits for a signal to stop, then shuts down gracefully.
 ///
 /// # Errors
@@ -42,20 +88,40 @@
 }
 
 async fn shut_down(gateway: &Rc<Gateway>) {
-    let deadline = Instant::now() + gateway.bounds.stop.saturating_sub(EXIT_MARGIN);
+    let schedule = ShutdownSchedule::new(Instant::now(), gateway.bounds.stop);
     info!(gateway.log, "stopping"; "connections" => gateway.caller_connections.get());
+    gateway.shutdown.set(Some(schedule));
     gateway.is_stopping.set(true);
-    leave(gateway).await;
-    sleep(UNREADY_NOTICE_DELAY).await;
+    // Not waited for: while the store doesn't respond, it would delay the drain.
+    let state = Rc::clone(gateway);
+    spawn_local(async move { leave(&state).await });
+    sleep_until(schedule.drain_start).await;
     gateway.is_draining.set(true);
     gateway.drain_started.notify_waiters();
-    while gateway.caller_connections.get() > 0 && Instant::now() < deadline {
-        sleep_until((Instant::now() + DRAIN_POLL_PERIOD).min(deadline)).await;
+    wait_until_drained(gateway, schedule.answers_end).await;
+    if gateway.caller_connections.get() > 0 {
+        info!(gateway.log, "shutdown time is nearly over; requests without a response get one of this host";
+            "connections" => gateway.caller_connections.get());
+        gateway.answers_ended.set(true);
+        gateway.answers_due.notify_waiters();
+        wait_until_drained(gateway, schedule.save_start).await;
     }
     gateway.counts.borrow_mut().is_final = true;
-    save_counts(gateway).await;
+    if timeout_at(schedule.exit, save_counts(gateway)).await.is_err() {
+        warn!(
+            gateway.log,
+            "counts not saved: the store didn't respond before the end of the shutdown time"
+        );
+    }
     if gateway.caller_connections.get() > 0 {
         warn!(gateway.log, "shutdown time is over; open connections of callers are cut";
             "connections" => gateway.caller_connections.get());
     }
 }
+
+/// Waits until callers have no open connections, at most until `end`.
+async fn wait_until_drained(gateway: &Gateway, end: Instant) {
+    while gateway.caller_connections.get() > 0 && Instant::now() < end {
+        sleep_until((Instant::now() + DRAIN_POLL_PERIOD).min(end)).await;
+    }
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 mod feed;
 mod grants;
 mod peers;
+mod stop;
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -94,6 +94,8 @@
     BodyIncomplete = "body-incomplete", 400;
     /// The host has no configuration or list of upstreams yet.
     NotReady = "not-ready", 503;
+    /// The host is shutting down, and no response is expected before its process ends.
+    HostStopping = "host-stopping", 503;
     /// No upstream of the pool is in service.
     NoUpstream = "no-upstream", 503;
     /// No connection to an upstream that may run the request could be opened; nothing was sent.
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -440,11 +440,16 @@
             start: Instant::now(),
             is_complete: false,
         };
-        if !self.config.work_time.is_zero() {
-            sleep(self.config.work_time).await;
+        let deadline = header("x-ragworthub-deadline-ms").parse().map(Duration::from_millis);
+        let work_time = deadline.map_or(self.config.work_time, |deadline| deadline.min(self.config.work_time));
+        if !work_time.is_zero() {
+            sleep(work_time).await;
         }
         guard.is_complete = true;
         drop(guard);
+        if work_time < self.config.work_time {
+            return self.build_reply(StatusCode::GATEWAY_TIMEOUT, &id, true, Bytes::new());
+        }
         if request.uri().path().contains(CRASH_PATH) {
             let reply = self.build_reply(StatusCode::OK, &id, true, Bytes::from_static(b"{}"));
             return self.crash(reply).await;
--- a/standins/tests/gateway/hostile.rs
+++ b/standins/tests/gateway/hostile.rs
@@ -248,3 +248,68 @@
             .then_some(())
     });
 }
+
+/// Reports whether a response looks like a complete success to its caller.
+fn is_complete_success(response: &super::Response) -> bool {
+    let header = |name: &str| response.headers.get(name).map(String::as_str);
+    let length = header("content-length").and_then(|value| value.parse::<usize>().ok());
+    let is_chunked = header("transfer-encoding") == Some("chunked");
+    (200..300).contains(&response.status)
+        && length.is_none_or(|length| response.body.len() >= length)
+        && (!is_chunked || response.body.ends_with("0\r\n\r\n"))
+}
+
+/// Guards against a success with an empty or short body, framed as whole, because the server stopped within the head
+/// of its response or the first chunk and closed.
+#[test]
+fn response_cut_anywhere_is_no_complete_success() {
+    let framings = [
+        "Content-Length: 2\r\n\r\n{}",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "\r\n",
+    ];
+    let build = move |framing: usize, id: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Ragworthub-Request-Id: {id}\r\nX-Ragworthub-Response-Signature: raw\r\n{}",
+            framings[framing]
+        )
+    };
+    let cluster = start_with_raw_server(move |stream, ids| {
+        for id in ids {
+            // An id states the framing, and how many bytes are sent.
+            let mut parts = id.split('-').skip(1).map_while(|part| part.parse().ok());
+            let response = match (parts.next(), parts.next()) {
+                (Some(framing), Some(length)) => build(framing, &id)[..length].to_owned(),
+                (Some(framing), None) => build(framing, &id),
+                _ => "HTTP/1.1 200 OK\r\nX-Ragworthub-Instance-Id: raw\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            };
+            let is_cut = id.starts_with("cut");
+            if stream.write_all(response.as_bytes()).is_err() || is_cut {
+                return;
+            }
+        }
+    });
+    let mut cut_count = 0;
+    for framing in 0..framings.len() {
+        let length = build(framing, "cut-0-100").len();
+        for cut in 0..length {
+            let id = format!("cut-{framing}-{cut:03}");
+            let response = cluster.call(0, "POST", "/renovaciones/7", &id, None);
+            assert!(
+                !is_complete_success(&response),
+                "{id}: {} {:?} {:?}",
+                response.status,
+                response.headers,
+                response.body
+            );
+            cut_count += usize::from(response.status != 503);
+            // Complete responses in between keep the server from being left out.
+            for number in 0..4 {
+                let response = cluster.call(0, "POST", "/renovaciones/7", &format!("whole-0-x{cut}{number}"), None);
+                assert!(is_complete_success(&response), "after {id}: {}", response.status);
+            }
+        }
+    }
+    println!("{cut_count} cut responses");
+    assert!(cut_count > 300, "{cut_count} cut responses");
+}
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -3,11 +3,13 @@
 mod crashes;
 mod directives;
 mod hostile;
+mod stops;
 mod support;
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 use tempfile::TempDir;
 
 const HOST_HEADER: &str = "licencias.example";
+const CONFIGURATION: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/platform/configuration.json");
 
 /// A store, three servers of each service and some gateways.
 struct Cluster {
@@ -88,10 +91,14 @@
     }
 
     fn publish_configuration(&self) {
-        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/platform/configuration.json");
+        self.publish(Path::new(CONFIGURATION));
+    }
+
+    fn publish(&self, file: &Path) {
         let store = self.store.address.to_string();
         let status = std::process::Command::new(env!("CARGO_BIN_EXE_operator"))
-            .args(["--store", &store, "--file", file])
+            .args(["--store", &store, "--file"])
+            .arg(file)
             .status();
         assert!(status.expect("the operator program must start").success());
     }
