Tell all hosts of a suspect only once two crashes count

Cause: each host told all others of every request that ran at an upstream that ended.

Change: a host reports what it has seen to the homes of the request, three hosts on a ring of hashes. Once two crashes count the homes tell all hosts; a host that has served the request since answers with the time of its response. Complete responses are kept for a minute instead of 9 s, as a host may learn late that it cleared a request. Suspects of one crash have an index, so eviction needs no search. The messages are the same, so older builds understand them.

Also: this host's quota at a cold upstream is kept until the hosts or the configuration change (it was hashed over all hosts for each cold upstream and request), orphans are planned only if there are some, and messages between hosts, calls to the store and about keys, and connections are counted by kind.

Tests at 300 hosts: the loss of a zone with 8 requests a host costs each host at most 48 reports and tells nothing to all; a request that crashes upstreams of three hosts is blocked on all; a response that another host saw clears it; the loss of a host changes only the homes of its own requests. `reports_are_sent_twice` now also checks who gets them.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -13,7 +13,7 @@
 use crate::gateway::run_gateway;
 use crate::platform::{COUNT_TOPIC, Store, decode_catalog};
 use crate::settings::{Settings, parse_settings};
-use crate::telemetry::build_logger;
+use crate::telemetry::{StoreCalls, build_logger};
 use crate::types::Offset;
 
 mod explain;
@@ -207,7 +207,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| CommandError::Failed(e.to_string()))?;
     let local = tokio::task::LocalSet::new();
-    let listing = runtime.block_on(local.run_until(async { Store::new(store).list(COUNT_TOPIC).await }));
+    let listing =
+        runtime.block_on(local.run_until(async { Store::new(store, StoreCalls::default()).list(COUNT_TOPIC).await }));
     let listing = listing.map_err(|e| CommandError::Failed(e.to_string()))?;
     let mut processes: BTreeMap<String, ProcessCounts> = BTreeMap::new();
     for record in listing.records {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 use crate::types::{PoolName, UpstreamName, Zone};
 
 mod health;
+mod homes;
 mod load;
 mod pick;
 mod runs;
@@ -21,10 +22,11 @@
 mod tests;
 
 pub(crate) use health::{Health, Outcome};
+pub(crate) use homes::HostRing;
 pub(crate) use load::{Load, LoadReport};
 pub(crate) use pick::{Locality, PickCriteria, expected_latency, pick_upstream};
 pub(crate) use runs::{Run, RunEnd, Runs};
-pub(crate) use suspects::{Crash, CrashReport, Fingerprint, Suspects};
+pub(crate) use suspects::{Crash, CrashReport, Fingerprint, RequestReport, Suspects};
 
 /// Grace period after a store outage for upstreams whose entries have expired; upstreams announce
 /// themselves again within about two seconds after the store's return.
@@ -45,6 +47,8 @@
     pub(crate) announcement: Announcement,
     /// When the upstream first stated in a response that it is leaving, whatever it announces.
     leaving_since: Option<Instant>,
+    /// When this host learnt of the incarnation.
+    pub(crate) known_since: Instant,
     /// When this host learnt of the current phase.
     pub(crate) phase_since: Instant,
     /// End of the cold period; in the past if the upstream isn't cold.
@@ -164,6 +168,7 @@
         names.insert(announcement.upstream.clone());
         let upstream = Upstream {
             leaving_since: None,
+            known_since: now,
             phase_since: now,
             cold_until,
             suspected_at: None,
--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -6,8 +6,11 @@
 //! clears the suspicion, also for a short time to come, so a frequent request that merely ran during crashes
 //! isn't blocked. If all upstreams of a pool end within a longer time, a frequent request may still be blocked;
 //! so one host sends a blocked request again, twice at most, to see whether it is served.
+//!
+//! Hosts report crashes only to the homes of a request, a few hosts that a hash selects. Homes share a suspect with all
+//! hosts once two crashes count: the loss of a zone makes suspects of all that ran there, but of one crash each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -15,12 +18,15 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use super::HostRing;
 use crate::types::{HostName, UpstreamName};
 
 /// Number of crashes after which a request is blocked.
 const BLOCKING_CRASHES: usize = 3;
 /// Number of crashes after which a request isn't retried: each retry may crash a further upstream.
 const NO_RETRY_CRASHES: usize = 2;
+/// Number of crashes from which on all hosts know a suspect.
+const SHARED_CRASHES: usize = NO_RETRY_CRASHES;
 /// Time after its last crash or response at which a request stops being a suspect.
 const SUSPECT_EXPIRY: Duration = Duration::from_mins(10);
 /// Limit on the number of suspects, against callers that keep sending new requests.
@@ -31,8 +37,9 @@
 const SERVED_GRACE: Duration = Duration::from_secs(3);
 /// Number of times that a report is sent: datagrams are lost at times.
 const REPORT_SENDS: u8 = 2;
-/// Time for which a complete response is kept. Crashes are noticed and reported within it.
-const SERVED_EXPIRY: Duration = Duration::from_secs(9);
+/// Time for which a complete response is kept. Hosts other than the homes learn only of the second crash that they may
+/// have served the request since the first one.
+const SERVED_EXPIRY: Duration = Duration::from_mins(1);
 /// Times after the last crash at which one host sends a blocked request again.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
 /// Limit on the complete responses that are kept.
@@ -55,6 +62,12 @@
     }
 }
 
+impl Fingerprint {
+    pub(crate) fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -91,6 +104,8 @@
     served: Option<Instant>,
     /// How often this host has sent the request although it is blocked.
     trials: usize,
+    /// Two crashes have counted, so all hosts have to know what changes.
+    is_shared: bool,
     changed: Instant,
 }
 
@@ -113,6 +128,18 @@
         counted.len()
     }
 
+    /// Returns what a host has seen of the request, with the latest response that is known.
+    fn report_of(&self, host: &HostName) -> CrashReport {
+        CrashReport {
+            crashes: self.crashes.get(host).cloned().unwrap_or_default(),
+            served: self.served,
+        }
+    }
+
+    fn has_single_crash(&self) -> bool {
+        self.crashes.values().map(Vec::len).sum::<usize>() <= 1
+    }
+
     /// Drops the crashes that the latest complete response outdates.
     fn apply_served(&mut self) {
         if let Some(served) = self.served {
@@ -139,64 +166,108 @@
     served: BTreeMap<Fingerprint, Instant>,
     /// How often the report of a suspect has still to be sent.
     unsent: BTreeMap<Fingerprint, u8>,
+    /// Suspects of at most one crash by the time of their last change, which are evicted first.
+    singles: BTreeSet<(Instant, Fingerprint)>,
+}
+
+/// A request and what one host has seen of it.
+pub(crate) type RequestReport = (Fingerprint, CrashReport);
+
+/// Reports to be sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DueReports {
+    /// Reports of this host, by the home that gets them.
+    pub(crate) to_homes: BTreeMap<HostName, Vec<RequestReport>>,
+    /// Reports for all hosts, by the host that has seen the crashes.
+    pub(crate) to_all: BTreeMap<HostName, Vec<RequestReport>>,
+}
+
+/// Effect of another host's report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ReportEffect {
+    /// Number of crashes that count.
+    pub(crate) crashes: usize,
+    /// The report changes what this host knows of a suspect that all hosts have to know.
+    pub(crate) is_shared_news: bool,
 }
 
 impl Suspects {
     /// Records a crash that this host has seen. Returns the number of crashes that count.
     pub(crate) fn record_crash(&mut self, now: Instant, own: &HostName, request: Fingerprint, crash: Crash) -> usize {
-        let Some(suspect) = self.suspect_mut(now, request) else {
-            return 0;
-        };
-        let crashes = suspect.crashes.entry(own.clone()).or_default();
-        if crashes.len() >= CRASHES_MAX {
-            crashes.remove(0);
+        let count = self.update(now, request, |suspect| {
+            let crashes = suspect.crashes.entry(own.clone()).or_default();
+            if crashes.len() >= CRASHES_MAX {
+                crashes.remove(0);
+            }
+            crashes.push(crash);
+            suspect.apply_served();
+            suspect.count_crashes()
+        });
+        if count.is_some() {
+            self.unsent.insert(request, REPORT_SENDS);
         }
-        crashes.push(crash);
-        suspect.apply_served();
-        let count = suspect.count_crashes();
-        self.unsent.insert(request, REPORT_SENDS);
-        count
+        count.unwrap_or_default()
     }
 
-    /// Replaces what another host has reported of a request before. Returns the number of crashes that count.
+    /// Replaces what another host has reported of a request before.
     pub(crate) fn apply_report(
         &mut self,
         now: Instant,
         host: &HostName,
         request: Fingerprint,
         report: CrashReport,
-    ) -> usize {
-        let Some(suspect) = self.suspect_mut(now, request) else {
-            return 0;
-        };
-        suspect.crashes.insert(host.clone(), report.crashes);
-        suspect.served = suspect.served.max(report.served);
-        suspect.apply_served();
-        suspect.count_crashes()
+    ) -> ReportEffect {
+        let applied = self.update(now, request, |suspect| {
+            let known = suspect.crashes.get(host).map_or(0, Vec::len);
+            let before = suspect.count_crashes();
+            let has_served_later = suspect.served > report.served;
+            suspect.crashes.insert(host.clone(), report.crashes);
+            suspect.served = suspect.served.max(report.served);
+            let reported = suspect.count_crashes();
+            suspect.apply_served();
+            let after = suspect.count_crashes();
+            suspect.is_shared |= after >= SHARED_CRASHES;
+            let is_news = before != after || known != suspect.crashes.get(host).map_or(0, Vec::len);
+            let effect = ReportEffect {
+                crashes: after,
+                is_shared_news: is_news && suspect.is_shared,
+            };
+            (effect, has_served_later && after < reported)
+        });
+        let (effect, is_outdated) = applied.unwrap_or_default();
+        if is_outdated {
+            // The homes don't know yet that this host has a later response.
+            self.unsent.insert(request, REPORT_SENDS);
+        }
+        effect
     }
 
-    /// Removes the suspect of a single crash that changed least recently. Reports whether there is one.
-    fn evict(&mut self) -> bool {
-        let has_single_crash = |suspect: &Suspect| suspect.crashes.values().map(Vec::len).sum::<usize>() <= 1;
-        let single = self.entries.iter().filter(|(_, suspect)| has_single_crash(suspect));
-        let oldest = single.min_by_key(|(_, suspect)| suspect.changed);
-        let oldest = oldest.map(|(&request, _)| request);
-        oldest.is_some_and(|request| self.entries.remove(&request).is_some())
+    /// Makes the report of a request due.
+    pub(crate) fn request_report(&mut self, request: Fingerprint) {
+        self.unsent.insert(request, REPORT_SENDS);
     }
 
-    /// Returns the suspect of a request, which is added unless there are too many with more than one crash.
-    fn suspect_mut(&mut self, now: Instant, request: Fingerprint) -> Option<&mut Suspect> {
-        if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&request) && !self.evict() {
-            return None;
+    /// Changes the suspect of a request, which is added unless there are too many with more than one crash.
+    fn update<T>(&mut self, now: Instant, request: Fingerprint, change: impl FnOnce(&mut Suspect) -> T) -> Option<T> {
+        if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&request) {
+            let (_, oldest) = self.singles.pop_first()?;
+            self.entries.remove(&oldest);
         }
         let suspect = self.entries.entry(request).or_insert_with(|| Suspect {
             crashes: BTreeMap::new(),
             served: self.served.get(&request).copied(),
             trials: 0,
+            is_shared: false,
             changed: now,
         });
+        self.singles.remove(&(suspect.changed, request));
         suspect.changed = now;
-        Some(suspect)
+        let result = change(suspect);
+        suspect.is_shared |= suspect.count_crashes() >= SHARED_CRASHES;
+        if suspect.has_single_crash() {
+            self.singles.insert((now, request));
+        }
+        Some(result)
     }
 
     /// Records that an upstream has completed a request at a time and went on running. Reports whether this
@@ -212,6 +283,9 @@
         suspect.served = suspect.served.max(Some(at));
         suspect.apply_served();
         let is_cleared = suspect.count_crashes() < before;
+        if suspect.has_single_crash() {
+            self.singles.insert((suspect.changed, request));
+        }
         if is_cleared {
             self.unsent.insert(request, REPORT_SENDS);
         }
@@ -222,26 +296,38 @@
         !self.unsent.is_empty()
     }
 
-    /// Makes the reports of requests with more than one crash due once more, because a new host has none of them.
-    pub(crate) fn resend_reports(&mut self) {
-        let repeated = self.entries.iter().filter(|(_, suspect)| suspect.count_crashes() > 1);
+    /// Makes the reports due once more of the suspects of which this host is a home and that all hosts have to know,
+    /// because a new host knows none of them.
+    pub(crate) fn resend_reports(&mut self, own: &HostName, ring: &HostRing<'_>) {
+        let shared = self.entries.iter().filter(|(_, suspect)| suspect.is_shared);
+        let own_shared = shared.filter(|(request, _)| ring.homes(**request).any(|home| home == own));
         self.unsent
-            .extend(repeated.map(|(&request, _)| (request, REPORT_SENDS)));
+            .extend(own_shared.map(|(&request, _)| (request, REPORT_SENDS)));
     }
 
-    /// Returns the reports that are due, each of them with all that this host has seen of a request.
-    pub(crate) fn take_reports(&mut self, own: &HostName) -> Vec<(Fingerprint, CrashReport)> {
-        let mut reports = Vec::new();
+    /// Returns the reports that are due: what this host has seen goes to the homes of the request, and what this host
+    /// knows as a home goes to all hosts if they have to know the suspect.
+    pub(crate) fn take_reports(&mut self, own: &HostName, ring: &HostRing<'_>) -> DueReports {
+        let mut due = DueReports::default();
         for (&request, sends) in &mut self.unsent {
             *sends -= 1;
-            if let Some(suspect) = self.entries.get(&request) {
-                let crashes = suspect.crashes.get(own).cloned().unwrap_or_default();
-                let served = suspect.served;
-                reports.push((request, CrashReport { crashes, served }));
+            let Some(suspect) = self.entries.get(&request) else {
+                continue;
+            };
+            for home in ring.homes(request) {
+                if home != own && (suspect.served.is_some() || suspect.crashes.contains_key(own)) {
+                    let report = suspect.report_of(own);
+                    due.to_homes.entry(home.clone()).or_default().push((request, report));
+                } else if home == own && suspect.is_shared {
+                    for host in suspect.crashes.keys() {
+                        let report = suspect.report_of(host);
+                        due.to_all.entry(host.clone()).or_default().push((request, report));
+                    }
+                }
             }
         }
         self.unsent.retain(|_, sends| *sends > 0);
-        reports
+        due
     }
 
     fn count_crashes(&self, request: Fingerprint) -> usize {
@@ -282,6 +368,7 @@
     /// Removes what is too old to matter.
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.entries.retain(|_, suspect| now < suspect.changed + SUSPECT_EXPIRY);
+        self.singles.retain(|(changed, _)| now < *changed + SUSPECT_EXPIRY);
         self.served.retain(|_, at| now < *at + SERVED_EXPIRY);
     }
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,5 @@
+mod sharing;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -7,8 +9,8 @@
 use tokio::time::Instant;
 
 use super::{
-    Change, Crash, CrashReport, Fingerprint, Fleet, Health, Load, LoadReport, Locality, Outcome, PickCriteria, Run,
-    RunEnd, Runs, Suspects, pick_upstream,
+    Change, Crash, CrashReport, Fingerprint, Fleet, Health, HostRing, Load, LoadReport, Locality, Outcome,
+    PickCriteria, Run, RunEnd, Runs, Suspects, pick_upstream,
 };
 use crate::catalog::{Announcement, Phase};
 use crate::types::{HostName, PoolName, UpstreamName, Zone};
@@ -505,8 +507,7 @@
     assert!(view.suspects.is_blocked(poisonous()));
 }
 
-/// Guards against reports that are sent without end: each crash is reported to all hosts, so their number grows
-/// with the number of hosts and of crashes.
+/// Guards against reports that are sent without end: their number grows with the number of crashes.
 #[test]
 fn reports_are_sent_twice() {
     let start = Instant::now();
@@ -517,16 +518,22 @@
         view.end_upstream(sent + ms(100), &upstream);
     }
     let own = CrashView::own();
-    let mut sent = Vec::new();
+    let other: HostName = "other".parse().expect("valid name");
+    let ring = HostRing::new([&own, &other].into_iter());
+    let (mut to_home, mut to_all) = (Vec::new(), Vec::new());
     while view.suspects.has_unsent_reports() {
-        sent.extend(view.suspects.take_reports(&own));
+        let mut due = view.suspects.take_reports(&own, &ring);
+        to_home.extend(due.to_homes.remove(&other).unwrap_or_default());
+        to_all.extend(due.to_all.remove(&own).unwrap_or_default());
+        assert!(due.to_homes.is_empty() && due.to_all.is_empty());
     }
-    assert_eq!(
-        sent.iter().map(|(_, report)| report.crashes.len()).collect::<Vec<_>>(),
-        [2, 2]
-    );
-    view.suspects.resend_reports();
-    assert_eq!(view.suspects.take_reports(&own).len(), 1, "a new host gets the report");
+    for sent in [to_home, to_all] {
+        let crashes = sent.iter().map(|(_, report)| report.crashes.len());
+        assert_eq!(crashes.collect::<Vec<_>>(), [2, 2]);
+    }
+    view.suspects.resend_reports(&own, &ring);
+    let due = view.suspects.take_reports(&own, &ring);
+    assert_eq!(due.to_all[&own].len(), 1, "a new host gets the report");
 }
 
 /// Guards against reports of other hosts that count twice when they are sent again, that are lost with one
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -85,10 +85,12 @@
     if let Some(mut sender) = gateway.connections.take_idle(now, upstream, address, is_non_idempotent)
         && let Some(result) = send(gateway, ctx, guard, &mut sender).await
     {
+        gateway.metrics.count_connection(false);
         return Some((sender, result));
     }
     match gateway.connections.open(upstream, address, CONNECT_TIMEOUT).await {
         Ok(mut sender) => {
+            gateway.metrics.count_connection(true);
             let sent = send(gateway, ctx, guard, &mut sender).await;
             if sent.is_none() {
                 record_unreachable(gateway, upstream, "connection closed before the request was sent");
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -19,7 +19,7 @@
 use super::connect::{CallError, Endpoint};
 use super::peers::Message;
 use super::state::Gateway;
-use crate::fleet::{Crash, CrashReport, Fingerprint, Outcome};
+use crate::fleet::{Crash, CrashReport, Fingerprint, HostRing, Outcome, RequestReport};
 use crate::platform::{INSTANCE, read_cold};
 use crate::types::{HostName, UpstreamName};
 
@@ -63,6 +63,39 @@
     noticed: u64,
 }
 
+impl WireReport {
+    fn new(now: Instant, request: Fingerprint, report: &CrashReport) -> Self {
+        let crash = |crash: &Crash| WireCrash {
+            upstream: crash.upstream.clone(),
+            heard: crash.heard.map(|at| age_micros(now, at)),
+            sent: age_micros(now, crash.sent),
+            ended: age_micros(now, crash.ended),
+            noticed: age_micros(now, crash.noticed),
+        };
+        Self {
+            request,
+            crashes: report.crashes.iter().map(crash).collect(),
+            served: report.served.map(|at| age_micros(now, at)),
+        }
+    }
+
+    fn report(&self, now: Instant) -> CrashReport {
+        let crash = |crash: &WireCrash| {
+            Some(Crash {
+                upstream: crash.upstream.clone(),
+                heard: crash.heard.and_then(|micros| time_of_age(now, micros)),
+                sent: time_of_age(now, crash.sent)?,
+                ended: time_of_age(now, crash.ended)?,
+                noticed: time_of_age(now, crash.noticed)?,
+            })
+        };
+        CrashReport {
+            crashes: self.crashes.iter().filter_map(crash).collect(),
+            served: self.served.and_then(|micros| time_of_age(now, micros)),
+        }
+    }
+}
+
 fn age_micros(now: Instant, at: Instant) -> u64 {
     u64::try_from(now.saturating_duration_since(at).as_micros()).unwrap_or(u64::MAX)
 }
@@ -78,9 +111,13 @@
     spawn_local(run_reports(Rc::clone(gateway)));
 }
 
-/// Sends the reports of suspects again, for a host that has just joined.
-pub(crate) fn resend_reports(gateway: &Gateway) {
-    gateway.suspects.borrow_mut().resend_reports();
+/// Sends the reports of suspects again, for a host that has just joined, to all of `hosts`.
+pub(crate) fn resend_reports<'a>(gateway: &Gateway, hosts: impl Iterator<Item = &'a HostName>) {
+    let ring = HostRing::new(hosts);
+    gateway
+        .suspects
+        .borrow_mut()
+        .resend_reports(&gateway.settings.host, &ring);
     gateway.crash_watch.reports_due.notify_one();
 }
 
@@ -219,60 +256,57 @@
 }
 
 fn send_reports(gateway: &Gateway) {
-    let now = Instant::now();
     let own = &gateway.settings.host;
-    let wire = |(request, report): (Fingerprint, CrashReport)| WireReport {
-        request,
-        crashes: report
-            .crashes
-            .iter()
-            .map(|crash| WireCrash {
-                upstream: crash.upstream.clone(),
-                heard: crash.heard.map(|at| age_micros(now, at)),
-                sent: age_micros(now, crash.sent),
-                ended: age_micros(now, crash.ended),
-                noticed: age_micros(now, crash.noticed),
-            })
-            .collect(),
-        served: report.served.map(|at| age_micros(now, at)),
-    };
-    let reports: Vec<_> = gateway
-        .suspects
-        .borrow_mut()
-        .take_reports(own)
-        .into_iter()
-        .map(wire)
-        .collect();
-    for part in reports.chunks(MESSAGE_REPORTS_MAX) {
-        gateway.outbox.send(Message::CrashReports {
-            host: own.clone(),
-            reports: part.to_vec(),
-        });
+    let hosts = gateway.hosts.borrow();
+    let ring = HostRing::new(hosts.keys());
+    let due = gateway.suspects.borrow_mut().take_reports(own, &ring);
+    for (home, reports) in due.to_homes {
+        for message in build_messages(own, &reports) {
+            gateway.outbox.send_to(home.clone(), message);
+        }
+    }
+    for (host, reports) in due.to_all {
+        for message in build_messages(&host, &reports) {
+            gateway.outbox.send(message);
+        }
     }
 }
 
-/// Applies the reports of another host.
+/// Builds the messages with what a host has seen.
+fn build_messages(host: &HostName, reports: &[RequestReport]) -> impl Iterator<Item = Message> {
+    let now = Instant::now();
+    reports
+        .chunks(MESSAGE_REPORTS_MAX)
+        .map(move |part| Message::CrashReports {
+            host: host.clone(),
+            reports: part
+                .iter()
+                .map(|(request, report)| WireReport::new(now, *request, report))
+                .collect(),
+        })
+}
+
+/// Applies the reports of a host, which come from the host itself or from a home of their requests.
 pub(super) fn apply_reports(gateway: &Gateway, host: &HostName, reports: &[WireReport]) {
+    let own = &gateway.settings.host;
+    if host == own {
+        return;
+    }
     let now = Instant::now();
+    let hosts = gateway.hosts.borrow();
+    let ring = HostRing::new(hosts.keys());
     for wire in reports {
-        let crash = |crash: &WireCrash| {
-            Some(Crash {
-                upstream: crash.upstream.clone(),
-                heard: crash.heard.and_then(|micros| time_of_age(now, micros)),
-                sent: time_of_age(now, crash.sent)?,
-                ended: time_of_age(now, crash.ended)?,
-                noticed: time_of_age(now, crash.noticed)?,
-            })
-        };
-        let report = CrashReport {
-            crashes: wire.crashes.iter().filter_map(crash).collect(),
-            served: wire.served.and_then(|micros| time_of_age(now, micros)),
-        };
         let mut suspects = gateway.suspects.borrow_mut();
-        let count = suspects.apply_report(now, host, wire.request, report);
-        if count > 1 {
+        let effect = suspects.apply_report(now, host, wire.request, wire.report(now));
+        if effect.is_shared_news && ring.homes(wire.request).any(|home| home == own) {
+            suspects.request_report(wire.request);
+        }
+        if suspects.has_unsent_reports() {
+            gateway.crash_watch.reports_due.notify_one();
+        }
+        if effect.crashes > 1 {
             info!(gateway.log, "crash reported by another host"; "reporter" => %host, "fingerprint" => %wire.request,
-                "crashes" => count);
+                "crashes" => effect.crashes);
         }
     }
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -77,6 +77,7 @@
     let Some(endpoint) = find_endpoint(gateway, holder) else {
         return GrantOutcome::NotSent;
     };
+    gateway.metrics.count_lease_call("grant");
     match endpoint
         .call(encode_command(command, &holder.upstream), GRANT_TIMEOUT)
         .await
@@ -97,6 +98,7 @@
     let Some(endpoint) = find_endpoint(gateway, holder) else {
         return ReleaseOutcome::Unknown;
     };
+    gateway.metrics.count_lease_call("release");
     match endpoint
         .call(encode_command(command, &holder.upstream), RELEASE_TIMEOUT)
         .await
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -29,6 +29,7 @@
 use crate::keys::{HostIncarnation, KeyCounts, TableDelta};
 use crate::platform::HOST_TOPIC;
 use crate::relay::{Topic, TopicDelta};
+use crate::telemetry::Direction;
 use crate::types::{HostName, UpstreamName};
 
 /// Time between two reports of request counts to the grantor.
@@ -54,7 +55,7 @@
 ///
 /// - The grantor repeats `StepDown` and `ConfirmRequest` in rounds, and hosts respond again.
 /// - The store has what `OwnersChanged`, `Refresh` and `Relay` are about; hosts that miss one read the store.
-/// - `CrashReports` are sent several times; each has all that the host has seen.
+/// - `CrashReports` are sent several times, to several homes; each has all that the host has seen.
 /// - `Leaving` is not repeated. A host that misses it learns from the next response of the upstream.
 /// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
 ///   grantor's request rates are too low for a time.
@@ -80,7 +81,8 @@
     },
     /// Requests that may have crashed upstreams. Only builds without [`Message::CrashReports`] send it.
     Crashes(Vec<Fingerprint>),
-    /// Requests that may have crashed upstreams, with all crashes that a host has seen of each.
+    /// Requests that may have crashed upstreams, with all crashes that a host has seen of each. The host itself sends
+    /// it to the homes of the requests, and these to all hosts.
     CrashReports { host: HostName, reports: Vec<WireReport> },
     /// An upstream may have restarted: readers are to relay its next announcement even if it is unchanged.
     Suspect(UpstreamName),
@@ -102,16 +104,59 @@
     EpochAck { incarnation: HostIncarnation, epoch: u64 },
 }
 
+impl Message {
+    /// Returns the label of the message's metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Counts(_) => "counts",
+            Self::StepDown { .. } => "step-down",
+            Self::ConfirmRequest { .. } => "confirm-request",
+            Self::Confirmation { .. } => "confirmation",
+            Self::Crashes(_) => "crashes",
+            Self::CrashReports { .. } => "crash-reports",
+            Self::Suspect(_) => "suspect",
+            Self::Cold { .. } => "cold",
+            Self::Leaving { .. } => "leaving",
+            Self::OwnersChanged(_) => "owners-changed",
+            Self::Refresh => "refresh",
+            Self::Relay(_) => "relay",
+            Self::EpochAck { .. } => "epoch-ack",
+        }
+    }
+}
+
+/// Hosts that a message is sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Recipients {
+    /// All other hosts.
+    All,
+    Readers,
+    One(HostName),
+}
+
 /// Queue of messages to other hosts.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
-    messages: RefCell<Vec<Message>>,
+    messages: RefCell<Vec<(Recipients, Message)>>,
     message_added: Notify,
 }
 
 impl Outbox {
+    /// Sends [`Message::Suspect`] to the readers, all other messages to all hosts.
     pub(crate) fn send(&self, message: Message) {
-        self.messages.borrow_mut().push(message);
+        let recipients = match message {
+            Message::Suspect(_) => Recipients::Readers,
+            _ => Recipients::All,
+        };
+        self.push(recipients, message);
+    }
+
+    pub(crate) fn send_to(&self, host: HostName, message: Message) {
+        self.push(Recipients::One(host), message);
+    }
+
+    fn push(&self, recipients: Recipients, message: Message) {
+        self.messages.borrow_mut().push((recipients, message));
         self.message_added.notify_one();
     }
 }
@@ -163,12 +208,18 @@
             // An ICMP error for a datagram sent earlier. Losses are tolerated, so it is ignored.
             continue;
         };
-        match decode(&buffer[..length]) {
+        let message = decode(&buffer[..length]);
+        if let Ok(message) = &message {
+            gateway
+                .metrics
+                .count_message(Direction::Received, message.kind(), length, 1);
+        }
+        match message {
             Ok(Message::Counts(counts)) => record_counts(&gateway, &counts),
-            Ok(Message::StepDown { epoch }) => send(&socket, sender, &step_down(&gateway, epoch)).await,
+            Ok(Message::StepDown { epoch }) => send(&gateway, &socket, sender, &step_down(&gateway, epoch)).await,
             Ok(Message::ConfirmRequest { epoch, requested_ms }) => {
                 if let Some(reply) = confirm_grantor(&gateway, epoch, requested_ms) {
-                    send(&socket, sender, &reply).await;
+                    send(&gateway, &socket, sender, &reply).await;
                 }
             }
             Ok(Message::Confirmation {
@@ -226,26 +277,36 @@
     }
     let address = gateway.hosts.borrow().get(grantor).map(|presence| presence.peers);
     if let Some(address) = address {
-        send(socket, address, &Message::Counts(counts)).await;
+        send(gateway, socket, address, &Message::Counts(counts)).await;
     }
 }
 
-/// Sends the messages of the outbox: [`Message::Suspect`] to the readers, all others to all hosts.
+/// Sends the messages of the outbox.
 async fn send_outbox(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
         gateway.outbox.message_added.notified().await;
         let messages = std::mem::take(&mut *gateway.outbox.messages.borrow_mut());
         let (hosts, readers) = find_addresses(&gateway);
-        for message in messages {
-            let hosts = match &message {
-                Message::Suspect(_) => &readers,
-                _ => &hosts,
+        for (recipients, message) in messages {
+            let addresses = match recipients {
+                Recipients::All => hosts.clone(),
+                Recipients::Readers => readers.clone(),
+                Recipients::One(host) => gateway
+                    .hosts
+                    .borrow()
+                    .get(&host)
+                    .map(|host| host.peers)
+                    .into_iter()
+                    .collect(),
             };
+            let kind = message.kind();
             let mut bytes = encode(&message);
             if bytes.len() > MESSAGE_MAX_BYTES {
                 bytes = encode(&shrink(message));
             }
-            for address in hosts {
+            let count = addresses.len();
+            gateway.metrics.count_message(Direction::Sent, kind, bytes.len(), count);
+            for address in addresses {
                 // A datagram that can't be sent counts as lost; see `Message` for what a loss means.
                 let _ = socket.send_to(&bytes, address).await;
             }
@@ -253,9 +314,13 @@
     }
 }
 
-pub(super) async fn send(socket: &UdpSocket, address: SocketAddr, message: &Message) {
+pub(super) async fn send(gateway: &Gateway, socket: &UdpSocket, address: SocketAddr, message: &Message) {
+    let bytes = encode(message);
+    gateway
+        .metrics
+        .count_message(Direction::Sent, message.kind(), bytes.len(), 1);
     // A datagram that the kernel can't send counts as lost; see `Message` for what a loss means.
-    let _ = socket.send_to(&encode(message), address).await;
+    let _ = socket.send_to(&bytes, address).await;
 }
 
 /// Returns the addresses of all other hosts, and of those that are readers.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -92,6 +92,8 @@
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<BTreeMap<PoolName, RetryBudget>>,
     pub(crate) cold_limiters: RefCell<BTreeMap<UpstreamName, ColdLimiter>>,
+    /// This host's quotas at cold upstreams, as of the current hosts and configuration.
+    cold_quotas: RefCell<BTreeMap<UpstreamName, ColdQuota>>,
     pub(crate) route_stats: RefCell<BTreeMap<RouteName, RouteStats>>,
     /// Requests by pool and key since the last message to the grantor.
     pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
@@ -124,14 +126,15 @@
     pub(crate) fn new(settings: Settings, log: Logger) -> Self {
         let bounds = settings.bounds();
         let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
+        let metrics = Metrics::new();
         Self {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, metrics.store_calls()),
             bounds,
             log,
             settings,
             started: Instant::now(),
             incarnation: u64::try_from(unix_time().as_millis()).unwrap_or(u64::MAX),
-            metrics: Metrics::new(),
+            metrics,
             catalog: RefCell::default(),
             fleet: RefCell::default(),
             fleet_known: Cell::new(false),
@@ -146,6 +149,7 @@
             connections: Connections::default(),
             budgets: RefCell::default(),
             cold_limiters: RefCell::default(),
+            cold_quotas: RefCell::default(),
             route_stats: RefCell::default(),
             key_counts: RefCell::default(),
             grants: Grants::default(),
@@ -299,15 +303,29 @@
         if !upstream.is_cold(now) {
             return true;
         }
-        let bound = pool.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
-        let hosts: Vec<HostName> = self.hosts.borrow().keys().cloned().collect();
-        let quota = ColdQuota::of_host(bound, &hosts, &self.settings.host, &upstream.announcement.upstream);
+        let quota = self.cold_quota(pool, &upstream.announcement.upstream);
         let limiters = self.cold_limiters.borrow();
         limiters
             .get(&upstream.announcement.upstream)
             .map_or(quota.0 > 0, |limiter| limiter.admits(now, quota))
     }
 
+    fn cold_quota(&self, pool: &Pool, upstream: &UpstreamName) -> ColdQuota {
+        if let Some(&quota) = self.cold_quotas.borrow().get(upstream) {
+            return quota;
+        }
+        let bound = pool.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
+        let hosts: Vec<HostName> = self.hosts.borrow().keys().cloned().collect();
+        let quota = ColdQuota::of_host(bound, &hosts, &self.settings.host, upstream);
+        self.cold_quotas.borrow_mut().insert(upstream.clone(), quota);
+        quota
+    }
+
+    /// Drops the quotas at cold upstreams, because the hosts or the configuration changed.
+    pub(crate) fn reset_cold_quotas(&self) {
+        self.cold_quotas.borrow_mut().clear();
+    }
+
     /// Counts a request as in flight at an upstream. It counts as soon as the upstream is chosen, because
     /// other requests choose theirs before this one is sent.
     pub(crate) fn count_in_flight(&self, now: Instant, upstream: &UpstreamName) {
--- a/src/gateway/support.rs
+++ b/src/gateway/support.rs
@@ -67,7 +67,7 @@
         }
         for (host, message) in messages {
             if let Some(address) = find_address(&gateway, &host) {
-                send(&socket, address, &message).await;
+                send(&gateway, &socket, address, &message).await;
             }
         }
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -62,6 +62,7 @@
         Topic::Hosts => {
             let listed = |host: &str| keys.contains(format!("{HOST_PREFIX}{host}").as_str());
             gateway.hosts.borrow_mut().retain(|host, _| listed(host.as_str()));
+            gateway.reset_cold_quotas();
         }
     }
 }
@@ -93,6 +94,7 @@
             info!(gateway.log, "configuration in force"; "version" => %catalog.version, "offset" => offset.0,
                 "pools" => catalog.pools.len());
             *gateway.catalog.borrow_mut() = Some(Rc::new(catalog));
+            gateway.reset_cold_quotas();
             gateway.catalog_changed.set(Some(Instant::now()));
         }
         Err(error) => {
@@ -175,6 +177,7 @@
         warn!(gateway.log, "host entry ignored: invalid host name in its key"; "key" => &record.key);
         return;
     };
+    gateway.reset_cold_quotas();
     let mut hosts = gateway.hosts.borrow_mut();
     match &record.value {
         None => {
@@ -184,7 +187,7 @@
             Ok(presence) => {
                 if hosts.insert(host, presence.clone()).as_ref() != Some(&presence) {
                     // A new process doesn't know the suspects yet.
-                    resend_reports(gateway);
+                    resend_reports(gateway, hosts.keys());
                 }
             }
             Err(error) => warn!(gateway.log, "host entry can't be decoded; the previous one stays";
--- a/src/keys/plan.rs
+++ b/src/keys/plan.rs
@@ -133,11 +133,16 @@
 /// Assigns orphaned keys, which have no usable owner, to the candidates with the most headroom.
 pub(crate) fn plan_orphans(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<Move> {
     let usable: BTreeSet<&Holder> = candidates.iter().map(|c| &c.holder).collect();
+    let has_owner = |assignment: &Assignment| assignment.owner.as_ref().is_some_and(|owner| usable.contains(owner));
+    // The grantor plans in each tick, and measuring the loads takes time in proportion to the assignments.
+    if table.assignments.iter().all(has_owner) {
+        return Vec::new();
+    }
     let mut pool = measure_loads(table, candidates, rates);
     let usage = pool.mean_usage(rates.load(KeyRange::ALL));
     let mut moves = Vec::new();
     for assignment in &table.assignments {
-        if assignment.owner.as_ref().is_some_and(|owner| usable.contains(owner)) {
+        if has_owner(assignment) {
             continue;
         }
         let mut remaining = Some(assignment.range);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,7 @@
 
 use super::units::format_time;
 use crate::gateway::{CallError, Endpoint};
+use crate::telemetry::StoreCalls;
 use crate::types::Offset;
 
 /// Timeout of a call; even a slow store responds within 0.3 s.
@@ -147,13 +148,16 @@
 pub(crate) struct Store {
     endpoint: Endpoint,
     degraded_until: Cell<Option<Instant>>,
+    calls: StoreCalls,
 }
 
 impl Store {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// Creates a client that counts its calls.
+    pub(crate) fn new(address: SocketAddr, calls: StoreCalls) -> Self {
         Self {
             endpoint: Endpoint::new(address, CONNECT_TIMEOUT),
             degraded_until: Cell::default(),
+            calls,
         }
     }
 
@@ -181,6 +185,7 @@
                 uri.push_str("&after=");
                 uri.push_str(&escape(&after));
             }
+            self.calls.count("list");
             let body = self.call(Method::GET, &uri, Bytes::new()).await?;
             let page = parse::<WirePage>(&body)?;
             // Pages aren't a consistent snapshot, so records written since the first page are read again.
@@ -213,6 +218,7 @@
     /// stores the offset.
     pub(crate) async fn read(&self, topic: &str, from: Offset) -> Result<Batch, StoreError> {
         let uri = format!("/log-read?topic={topic}&part=0&from={from}&max_kb={READ_MAX_KIB}&wait_ms=0");
+        self.calls.count("read");
         let body = self.call(Method::GET, &uri, Bytes::new()).await?;
         decode_batch(from, body).ok_or_else(|| StoreError::Unknown("malformed records in the response".to_owned()))
     }
@@ -236,6 +242,7 @@
             uri = format!("{uri}&producer={producer}&epoch={epoch}&seq={sequence}");
         }
         let body = encode_records(records);
+        self.calls.count("append");
         let body = self.call(Method::POST, &uri, body).await?;
         parse::<WireAppended>(&body).map(|appended| Offset(appended.end_offset))
     }
@@ -259,6 +266,7 @@
             ttl_time: Some(format_time(ttl)),
             generation: Some(generation),
         };
+        self.calls.count("join");
         let body = self.call(Method::POST, "/log-join", encode(&join)).await?;
         let joined = parse::<WireJoined>(&body)?;
         let rows = joined.parts.into_iter().filter(|(name, ..)| name == topic);
@@ -282,6 +290,7 @@
             ttl_time: None,
             generation: None,
         };
+        self.calls.count("leave");
         self.call(Method::POST, "/log-leave", encode(&leave)).await?;
         Ok(())
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -35,6 +35,39 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct MessageLabels {
+    kind: &'static str,
+    direction: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ConnectionLabels {
+    connection: &'static str,
+}
+
+/// Calls to the store by kind.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreCalls(Family<CallLabels, Counter>);
+
+impl StoreCalls {
+    pub(crate) fn count(&self, call: &'static str) {
+        self.0.get_or_create(&CallLabels { call }).inc();
+    }
+}
+
+/// Whether a message between hosts was sent or received by this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
 /// Metrics of a gateway.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -45,6 +78,12 @@
     retries: Family<ReasonLabels, Counter>,
     latencies: Family<RouteLabels, Histogram>,
     crashes: Counter,
+    /// Datagrams between hosts, and their bytes.
+    messages: Family<MessageLabels, Counter>,
+    message_bytes: Family<MessageLabels, Counter>,
+    store_calls: StoreCalls,
+    lease_calls: Family<CallLabels, Counter>,
+    connections: Family<ConnectionLabels, Counter>,
     configuration: Gauge,
     upstreams: Gauge,
     hosts: Gauge,
@@ -83,6 +122,11 @@
             retries: Family::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_SECONDS)),
             crashes: Counter::default(),
+            messages: Family::default(),
+            message_bytes: Family::default(),
+            store_calls: StoreCalls::default(),
+            lease_calls: Family::default(),
+            connections: Family::default(),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
@@ -119,6 +163,8 @@
             "Crashes of upstreams with a request that may have caused them",
             metrics.crashes.clone(),
         );
+        metrics.register_costs();
+        let r = &mut metrics.registry;
         for (name, help, gauge) in [
             (
                 "configuration_version",
@@ -158,6 +204,32 @@
         metrics
     }
 
+    /// Registers the counters of what hosts exchange with each other, the store and upstreams.
+    fn register_costs(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "messages",
+            "Datagrams between hosts by kind and direction",
+            self.messages.clone(),
+        );
+        r.register(
+            "message_bytes",
+            "Bytes of datagrams between hosts by kind and direction",
+            self.message_bytes.clone(),
+        );
+        r.register("store_calls", "Calls to the store by kind", self.store_calls.0.clone());
+        r.register(
+            "lease_calls",
+            "Calls to upstreams about keys by kind",
+            self.lease_calls.clone(),
+        );
+        r.register(
+            "attempt_connections",
+            "Attempts by whether they used a new or an idle connection",
+            self.connections.clone(),
+        );
+    }
+
     pub(crate) fn count_response(&self, route: &RouteName, status: u16) {
         let labels = RouteStatusLabels {
             route: route.clone(),
@@ -195,6 +267,33 @@
             .inc();
     }
 
+    /// Counts a datagram that went to, or came from, a number of hosts.
+    pub(crate) fn count_message(&self, direction: Direction, kind: &'static str, bytes: usize, hosts: usize) {
+        let direction = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        let labels = MessageLabels { kind, direction };
+        let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+        self.messages.get_or_create(&labels).inc_by(count(hosts));
+        self.message_bytes.get_or_create(&labels).inc_by(count(bytes * hosts));
+    }
+
+    /// Returns the counters of calls to the store.
+    pub(crate) fn store_calls(&self) -> StoreCalls {
+        self.store_calls.clone()
+    }
+
+    pub(crate) fn count_lease_call(&self, call: &'static str) {
+        self.lease_calls.get_or_create(&CallLabels { call }).inc();
+    }
+
+    /// Counts the connection of an attempt.
+    pub(crate) fn count_connection(&self, is_new: bool) {
+        let connection = if is_new { "new" } else { "idle" };
+        self.connections.get_or_create(&ConnectionLabels { connection }).inc();
+    }
+
     pub(crate) fn count_crash(&self) {
         self.crashes.inc();
     }
