Prefer upstreams that a host has an idle connection to

Change: in calm a request goes to the best of three connected upstreams of the own zone, if its expected latency is at most 1.2 times the typical one; otherwise to any, as before.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,4 @@
+mod connected;
 mod sharing;
 
 use std::collections::BTreeSet;
@@ -147,6 +148,7 @@
         zone: &zone,
         locality,
         tried: &[],
+        connected: &[],
     };
     pick_upstream(now, fleet, &criteria, &mut Pcg64Mcg::seed_from_u64(1), |_| true)
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -39,6 +39,8 @@
 fn choose_any(gateway: &Gateway, ctx: &RequestContext, pool: &Pool) -> Result<UpstreamName, Refusal> {
     let now = Instant::now();
     let fleet = gateway.fleet.borrow();
+    let is_non_idempotent = ctx.route.idempotency == Idempotency::NonIdempotent;
+    let connected = gateway.connections.connected_upstreams(now, is_non_idempotent);
     let criteria = PickCriteria {
         pool: &ctx.pool,
         zone: &gateway.settings.zone,
@@ -47,6 +49,7 @@
             Idempotency::Idempotent | Idempotency::NonIdempotent => Locality::Prefer,
         },
         tried: &ctx.tried,
+        connected: &connected,
     };
     let has_room = |u: &_| gateway.has_room(now, pool, u);
     let picked = pick_upstream(now, &fleet, &criteria, &mut *gateway.rng.borrow_mut(), has_room);
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -32,6 +32,13 @@
     expires: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant, is_non_idempotent: bool) -> bool {
+        let is_recent = !is_non_idempotent || now < self.since + NON_IDEMPOTENT_IDLE_LIMIT;
+        is_recent && now < self.expires && self.sender.is_ready()
+    }
+}
+
 #[derive(Debug, Default)]
 struct ConnectionPool {
     address: Option<SocketAddr>,
@@ -55,6 +62,16 @@
         pool.open < limit || pool.idle.iter().any(|idle| idle.sender.is_ready())
     }
 
+    /// Returns the upstreams to which there is an idle connection that a request may use.
+    pub(crate) fn connected_upstreams(&self, now: Instant, is_non_idempotent: bool) -> Vec<UpstreamName> {
+        let pools = self.pools.borrow();
+        let connected = pools.iter().filter(|(_, pool)| {
+            let mut idle = pool.idle.iter();
+            idle.any(|idle| idle.is_usable(now, is_non_idempotent))
+        });
+        connected.map(|(upstream, _)| upstream.clone()).collect()
+    }
+
     /// Takes the most recently returned idle connection that may still be used.
     pub(crate) fn take_idle(
         &self,
@@ -70,9 +87,7 @@
             return None;
         }
         pool.idle.retain(|idle| idle.expires > now && !idle.sender.is_closed());
-        let usable = |idle: &IdleConnection| {
-            idle.sender.is_ready() && (!is_non_idempotent || now < idle.since + NON_IDEMPOTENT_IDLE_LIMIT)
-        };
+        let usable = |idle: &IdleConnection| idle.is_usable(now, is_non_idempotent);
         let index = pool.idle.iter().rposition(usable)?;
         Some(pool.idle.remove(index).sender)
     }
