Admit only a share of the requests for overloaded owners of keys

Each of 87 hosts sends it too little to know its queue, so the queue is full for seconds: responses are late, and the owner resets new connections, as it takes fewer while its queue is long. 680 attempts ended so, most in pairs within 10 ms at the same owner, and callers got 502 for 186 requests that had reached no server.

Ruled out: idle connections that the server closed (the resets are of new ones), unreachable owners (8 cases).

Change: the grantor, which knows the load of all owners, asks those above 0.8 of their capacity for their queues twice a second and sends all hosts the share of the requests to admit. The rest is refused at once as not run.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -147,6 +147,13 @@
             format!("no upstream of pool {pool} could have responded in time"),
             "compare the load of the pool's upstreams with their slots; add upstreams if this persists",
         ),
+        "owner-overloaded" => (
+            format!(
+                "the owner of key {} of pool {pool} was overloaded, and only a share of its requests was admitted",
+                last.get("key").unwrap_or(&Value::Null)
+            ),
+            "look for a hot key: lines `owners overloaded; hosts admit a share of their requests` of the grantor",
+        ),
         "upstream-shed" => (
             format!("{upstreams} refused it because of overload and proved that it didn't run"),
             "look for a hot key (lines `keys move`) or slow upstreams of the pool",
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -16,6 +16,9 @@
 const OWNER_WAIT_MAX: Duration = Duration::from_millis(400);
 /// Range that `Retry-After` is drawn from while a key has no owner.
 const NO_OWNER_RETRY_AFTER_MS: (u64, u64) = (150, 400);
+/// Range that `Retry-After` is drawn from while a key's owner is overloaded: about the time in which its queue is
+/// served, spread so that callers don't return together.
+const OVERLOAD_RETRY_AFTER_MS: (u64, u64) = (200, 1_200);
 /// Number of unreachable upstreams after which a request is refused.
 const UNREACHABLE_MAX: usize = 3;
 /// Expected latency, as a multiple of the time until the deadline, above which a request is refused
@@ -115,6 +118,12 @@
                 if upstream.is_some_and(|u| !gateway.admits_limited(now, u)) {
                     return Err(build_refusal(gateway, ctx, Reason::UpstreamLimited));
                 }
+                if ctx.tried.is_empty() && !gateway.admits_by_share(now, &owner) {
+                    return Err(Refusal::not_run(
+                        Reason::OwnerOverloaded,
+                        Some(draw_retry_after(gateway, OVERLOAD_RETRY_AFTER_MS)),
+                    ));
+                }
                 let upstream = upstream.filter(|u| gateway.has_room(now, pool, u));
                 return match upstream.filter(|u| !misses_deadline(gateway, ctx, now, u)) {
                     Some(_) => Ok(owner),
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -15,15 +15,15 @@
 
 use super::connect::Endpoint;
 use super::election::run_election;
-use super::orders::{GRANT_CALL_TIMEOUT, check_cold, grant, release};
+use super::orders::{GRANT_CALL_TIMEOUT, check_cold, grant, release, request_load};
 use super::peers::Message;
 use super::state::Gateway;
 use super::watch::{TABLE_PREFIX, apply_table_delta};
 use crate::catalog::{Catalog, Pool};
 use crate::fleet::Upstream;
 use crate::keys::{
-    Action, Candidate, Confirmations, GrantOutcome, Grantor, Holder, HostIncarnation, KeyCounts, KeyRange, KeyRates,
-    KeyTable, LeaseTiming, Move, ReleaseOutcome, plan_balance, plan_orphans,
+    Action, Admissions, Candidate, Confirmations, GrantOutcome, Grantor, Holder, HostIncarnation, KeyCounts, KeyRange,
+    KeyRates, KeyTable, LeaseTiming, Move, ReleaseOutcome, WatchedOwner, measure_owners, plan_balance, plan_orphans,
 };
 use crate::platform::{HOST_TOPIC, LeaseCommand, ProducerState, StoreError};
 use crate::relay::Topic;
@@ -65,6 +65,7 @@
     pub(super) grantor: Grantor,
     pub(super) rates: KeyRates,
     pub(super) last_rebalance: Instant,
+    pub(super) admissions: Admissions,
 }
 
 /// State of this host while it is the grantor.
@@ -196,7 +197,10 @@
                 .iter()
                 .any(|assignment| assignment.owner.is_some())
         {
-            plan_moves(gateway, now, catalog, name, pool);
+            let watched = plan_moves(gateway, now, catalog, name, pool);
+            if !watched.is_empty() {
+                spawn_local(update_admissions(Rc::clone(gateway), epoch, name.clone(), watched));
+            }
         }
         let addresses = gateway.grants.addresses.borrow();
         let is_known = |holder: &Holder| addresses.contains_key(holder);
@@ -224,6 +228,7 @@
             grantor: Grantor::take_over(now, host, active.epoch, table, timing),
             rates: KeyRates::default(),
             last_rebalance: now,
+            admissions: Admissions::default(),
         };
         active.pools.insert(pool.name.clone(), pool_grantor);
     }
@@ -263,10 +268,18 @@
     });
 }
 
-fn plan_moves(gateway: &Gateway, now: Instant, catalog: &Catalog, name: &PoolName, pool: &mut PoolGrantor) {
+/// Moves keys whose owner is lost, and twice a second those of overloaded owners. Returns the owners to ask for their
+/// queues then.
+fn plan_moves(
+    gateway: &Gateway,
+    now: Instant,
+    catalog: &Catalog,
+    name: &PoolName,
+    pool: &mut PoolGrantor,
+) -> Vec<WatchedOwner> {
     let fleet = gateway.fleet.borrow();
     let Some(settings) = catalog.pools.get(name) else {
-        return;
+        return Vec::new();
     };
     let typical = typical_latency(gateway, catalog, name).as_secs_f64();
     let unresponsive = pool
@@ -299,20 +312,58 @@
         pool.grantor.apply(&moves);
     }
     let elapsed = now.duration_since(pool.last_rebalance);
-    if elapsed >= REBALANCE_PERIOD {
-        pool.last_rebalance = now;
-        pool.rates.advance(elapsed);
-        if pool
-            .grantor
-            .table()
-            .assignments
-            .iter()
-            .all(|assignment| assignment.ready)
-        {
-            let moves = plan_balance(pool.grantor.table(), &candidates, &pool.rates);
-            log_moves(gateway, name, "balance", &moves);
-            pool.grantor.apply(&moves);
+    if elapsed < REBALANCE_PERIOD {
+        return Vec::new();
+    }
+    pool.last_rebalance = now;
+    pool.rates.advance(elapsed);
+    let is_settled = pool
+        .grantor
+        .table()
+        .assignments
+        .iter()
+        .all(|assignment| assignment.ready);
+    if is_settled {
+        let moves = plan_balance(pool.grantor.table(), &candidates, &pool.rates);
+        log_moves(gateway, name, "balance", &moves);
+        pool.grantor.apply(&moves);
+    }
+    let owners = measure_owners(pool.grantor.table(), &candidates, &pool.rates);
+    pool.admissions.watched(owners.into_iter())
+}
+
+/// Asks owners for their queues and tells all hosts which share of the requests for each of them to admit.
+async fn update_admissions(gateway: Rc<Gateway>, epoch: u64, pool: PoolName, watched: Vec<WatchedOwner>) {
+    let mut reports = Vec::new();
+    for owner in &watched {
+        if let Some(report) = request_load(&gateway, &pool, &owner.holder).await {
+            reports.push((owner, report));
+        }
+    }
+    let mut shares = BTreeMap::new();
+    if let Some(active) = gateway
+        .grants
+        .active
+        .borrow_mut()
+        .as_mut()
+        .filter(|active| active.epoch == epoch)
+        && let Some(pool) = active.pools.get_mut(&pool)
+    {
+        pool.admissions.retain(&watched);
+        for (owner, report) in reports {
+            pool.admissions.update(owner, report);
         }
+        shares.extend(
+            pool.admissions
+                .shares()
+                .map(|(holder, share)| (holder.upstream.clone(), share)),
+        );
+    }
+    if !shares.is_empty() {
+        info!(gateway.log, "owners overloaded; hosts admit a share of their requests"; "pool" => %pool,
+            "shares" => shares.iter().map(|(owner, share)| format!("{owner}={share:.3}")).collect::<Vec<_>>().join(","));
+        gateway.record_admissions(Instant::now(), &shares);
+        gateway.outbox.send(Message::Admissions(shares));
     }
 }
 
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -12,8 +12,9 @@
 use super::connect::{CallError, Endpoint};
 use super::peers::Message;
 use super::state::Gateway;
+use crate::fleet::LoadReport;
 use crate::keys::{GrantOutcome, Holder, ReleaseOutcome};
-use crate::platform::{INSTANCE, LeaseCommand, encode_command, read_cold, read_handover};
+use crate::platform::{INSTANCE, LeaseCommand, encode_command, read_cold, read_handover, read_load};
 use crate::types::{PoolName, UpstreamName};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -22,6 +23,8 @@
 /// Timeout of the whole call that sends a grant, including the connection; the grant may still leave
 /// this host until then.
 pub(super) const GRANT_CALL_TIMEOUT: Duration = CONNECT_TIMEOUT.saturating_add(GRANT_TIMEOUT);
+/// Timeout of a question for the load; shorter than the time between two.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay before a grant to a cold upstream, in which the other hosts learn that it is cold.
 const COLD_NOTICE_DELAY: Duration = Duration::from_millis(30);
 /// Timeout of a release, to which upstreams respond once their requests in flight for the keys have ended.
@@ -68,6 +71,18 @@
     }
 }
 
+/// Asks an owner of keys for its load; `None` if it doesn't respond or doesn't tell.
+pub(super) async fn request_load(gateway: &Gateway, pool: &PoolName, holder: &Holder) -> Option<LoadReport> {
+    let catalog = gateway.catalog.borrow().clone()?;
+    let path = &catalog.pools.get(pool)?.health_path;
+    let endpoint = find_endpoint(gateway, holder)?;
+    gateway.metrics.count_lease_call("load");
+    let request = Request::get(path).header(HOST, "upstream").body(Full::default()).ok()?;
+    // Without a report the share of the owner stays as it is until the next round.
+    let response = endpoint.call(request, LOAD_TIMEOUT).await.ok()?;
+    read_load(response.headers())
+}
+
 /// Records that an upstream is cold for the given time.
 pub(crate) fn record_cold(gateway: &Gateway, upstream: &UpstreamName, time: Duration) {
     gateway.fleet.borrow_mut().suspect_cold(Instant::now(), upstream, time);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 //! changes of key owners and relayed store records.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -56,6 +57,7 @@
 /// - The grantor repeats `StepDown` and `ConfirmRequest` in rounds, and hosts respond again.
 /// - The store has what `OwnersChanged`, `Refresh` and `Relay` are about; hosts that miss one read the store.
 /// - `CrashReports` are sent several times, to several homes; each has all that the host has seen.
+/// - `Admissions` are repeated while an owner is overloaded; without them all requests are admitted.
 /// - `Leaving` is not repeated. A host that misses it learns from the next response of the upstream.
 /// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
 ///   grantor's request rates are too low for a time.
@@ -102,6 +104,8 @@
     /// Response to [`Message::StepDown`]: the host sends no grants under older epochs and confirms none.
     #[serde(rename = "Stopped")]
     EpochAck { incarnation: HostIncarnation, epoch: u64 },
+    /// Shares of the requests that hosts are to admit for overloaded owners of keys.
+    Admissions(BTreeMap<UpstreamName, f64>),
 }
 
 impl Message {
@@ -121,6 +125,7 @@
             Self::Refresh => "refresh",
             Self::Relay(_) => "relay",
             Self::EpochAck { .. } => "epoch-ack",
+            Self::Admissions(_) => "admissions",
         }
     }
 }
@@ -243,6 +248,7 @@
             Ok(Message::OwnersChanged(delta)) => apply_table_delta(&gateway, &delta),
             Ok(Message::Relay(deltas)) => apply_deltas(&gateway, &deltas),
             Ok(Message::Refresh) => gateway.feed.request_read(Topic::Hosts),
+            Ok(Message::Admissions(shares)) => gateway.record_admissions(Instant::now(), &shares),
             Ok(Message::EpochAck { incarnation, epoch }) => record_epoch_ack(&gateway, &incarnation, epoch),
             Err(error) => warn!(gateway.log, "datagram from another host can't be decoded; ignored";
                 "bytes" => length, "error" => error),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -39,6 +39,8 @@
 /// Longest time for which keys without a ready owner count as moving. A longer move waits for more than
 /// running requests, mostly for a lost owner.
 const MOVE_WINDOW: Duration = Duration::from_millis(600);
+/// Time for which a share of the requests for an overloaded owner holds; the grantor repeats it twice a second.
+const ADMISSION_TIME: Duration = Duration::from_millis(1_600);
 /// Share of a route's latency objective that is assumed as its typical latency before the first response.
 const INITIAL_TYPICAL_SHARE: f64 = 0.3;
 
@@ -92,6 +94,8 @@
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<BTreeMap<PoolName, RetryBudget>>,
     pub(crate) cold_limiters: RefCell<BTreeMap<UpstreamName, ColdLimiter>>,
+    /// Shares of the requests to be admitted for overloaded owners of keys, and when each of them ends.
+    admissions: RefCell<BTreeMap<UpstreamName, (f64, Instant)>>,
     /// This host's quotas at cold upstreams, as of the current hosts and configuration.
     cold_quotas: RefCell<BTreeMap<UpstreamName, ColdQuota>>,
     pub(crate) route_stats: RefCell<BTreeMap<RouteName, RouteStats>>,
@@ -150,6 +154,7 @@
             budgets: RefCell::default(),
             cold_limiters: RefCell::default(),
             cold_quotas: RefCell::default(),
+            admissions: RefCell::default(),
             route_stats: RefCell::default(),
             key_counts: RefCell::default(),
             grants: Grants::default(),
@@ -310,6 +315,27 @@
             .map_or(quota.0 > 0, |limiter| limiter.admits(now, quota))
     }
 
+    /// Records which shares of the requests for overloaded owners of keys are to be admitted for a time.
+    pub(crate) fn record_admissions(&self, now: Instant, shares: &BTreeMap<UpstreamName, f64>) {
+        let mut admissions = self.admissions.borrow_mut();
+        admissions.retain(|_, (_, end)| now < *end);
+        admissions.extend(
+            shares
+                .iter()
+                .map(|(owner, &share)| (owner.clone(), (share, now + ADMISSION_TIME))),
+        );
+    }
+
+    /// Decides by lot whether a request for an owner of keys is admitted; all are unless the owner is overloaded.
+    pub(crate) fn admits_by_share(&self, now: Instant, owner: &UpstreamName) -> bool {
+        let admissions = self.admissions.borrow();
+        let share = admissions
+            .get(owner)
+            .filter(|(_, end)| now < *end)
+            .map(|(share, _)| *share);
+        share.is_none_or(|share| self.rng.borrow_mut().random_bool(share.clamp(0.0, 1.0)))
+    }
+
     fn cold_quota(&self, pool: &Pool, upstream: &UpstreamName) -> ColdQuota {
         if let Some(&quota) = self.cold_quotas.borrow().get(upstream) {
             return quota;
--- a/src/gateway/tests/grants.rs
+++ b/src/gateway/tests/grants.rs
@@ -14,7 +14,7 @@
 use super::{CONFIGURATION, gateway};
 use crate::gateway::watch::apply_catalog;
 use crate::keys::{
-    Action, Confirmations, Grantor, Holder, KeyRange, KeyRates, KeyTable, LeaseTiming, STORE_OUTAGE_LIMIT,
+    Action, Admissions, Confirmations, Grantor, Holder, KeyRange, KeyRates, KeyTable, LeaseTiming, STORE_OUTAGE_LIMIT,
 };
 use crate::types::{Offset, PoolName};
 
@@ -70,6 +70,7 @@
         grantor: Grantor::take_over(now, host, EPOCH, table, timing),
         rates: KeyRates::default(),
         last_rebalance: now,
+        admissions: Admissions::default(),
     };
     *gateway.grants.active.borrow_mut() = Some(GrantorState {
         epoch: EPOCH,
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -17,6 +17,7 @@
 use crate::catalog::Announcement;
 use crate::types::{HostName, PoolName, UpstreamName};
 
+mod admission;
 mod grantor;
 mod plan;
 mod rates;
@@ -25,8 +26,9 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use admission::{Admissions, WatchedOwner};
 pub(crate) use grantor::{Action, GrantOutcome, Grantor, LeaseTiming, ReleaseOutcome};
-pub(crate) use plan::{Candidate, Move, plan_balance, plan_orphans};
+pub(crate) use plan::{Candidate, Move, measure_owners, plan_balance, plan_orphans};
 pub(crate) use rates::{KeyCounts, KeyRates};
 #[cfg(test)]
 pub(crate) use succession::STORE_OUTAGE_LIMIT;
--- a/src/keys/plan.rs
+++ b/src/keys/plan.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Assignment, Holder, KeyRange, KeyRates, KeyTable};
+use super::{Assignment, Holder, KeyRange, KeyRates, KeyTable, WatchedOwner};
 
 /// Ratio of an upstream's usage to the mean above which keys move away from it, if the usage also exceeds
 /// `BUSY_USAGE`. Also the ratio of an upstream's load to its limit above which keys move away from it.
@@ -130,6 +130,18 @@
     PoolLoads { candidates, loads }
 }
 
+/// Returns the loads and capacities of the candidates.
+pub(crate) fn measure_owners(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<WatchedOwner> {
+    let pool = measure_loads(table, candidates, rates);
+    let owners = candidates.iter().zip(&pool.loads);
+    let owners = owners.map(|(candidate, &load)| WatchedOwner {
+        holder: candidate.holder.clone(),
+        load,
+        capacity: candidate.capacity,
+    });
+    owners.collect()
+}
+
 /// Assigns orphaned keys, which have no usable owner, to the candidates with the most headroom.
 pub(crate) fn plan_orphans(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<Move> {
     let usable: BTreeSet<&Holder> = candidates.iter().map(|c| &c.holder).collect();
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -3,6 +3,7 @@
 //! A simulation of hosts, upstreams, the store and the network runs histories with injected faults and checks after
 //! each step that no key has two owners.
 
+mod admission;
 mod succession;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -104,6 +104,8 @@
     NoOwner = "no-owner", 503;
     /// No upstream has capacity, or none would respond in time.
     QueueFull = "queue-full", 503;
+    /// The key's owner is overloaded, and only a share of the requests for it is admitted.
+    OwnerOverloaded = "owner-overloaded", 503;
     /// The upstream has refused a request and wants no further ones for a time.
     UpstreamPaused = "upstream-paused", 503;
     /// The upstream has named a limit on requests, and this host's share of it is used up.
