Refuse paths with broken percent escapes

Change: 400 with the reason bad-path. Two tests, one on real processes, that fail without the check.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -139,6 +139,12 @@
     }
 }
 
+/// Reports whether each percent sign of a path starts an escape of two hexadecimal digits (RFC 3986, section 2.1).
+pub(crate) fn has_valid_escapes(path: &str) -> bool {
+    let is_escape = |rest: &[u8]| rest.len() >= 2 && rest[..2].iter().all(u8::is_ascii_hexdigit);
+    path.as_bytes().split(|&byte| byte == b'%').skip(1).all(is_escape)
+}
+
 /// Returns the host and path by which the route of a request is found.
 pub(crate) fn find_target<'a>(uri: &'a Uri, host_header: Option<&'a str>) -> (&'a str, &'a str) {
     (uri.host().or(host_header).unwrap_or_default(), uri.path())
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{CallerLimits, Catalog, CatalogVersion, Idempotency, Route, Target, find_target};
+use super::{CallerLimits, Catalog, CatalogVersion, Idempotency, Route, Target, find_target, has_valid_escapes};
 use crate::types::Offset;
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -73,3 +73,14 @@
     let uri = "http://a.example/x/1?q".parse().expect("a URI");
     assert_eq!(find_target(&uri, Some("b.example")), ("a.example", "/x/1"));
 }
+
+/// Guards against passing on a path with a broken percent escape, which servers may decode in different ways.
+#[test]
+fn a_path_with_a_broken_percent_escape_is_invalid() {
+    for path in ["/", "/a/b", "/%41/%e2%82%ac", "/a%2Fb", ""] {
+        assert!(has_valid_escapes(path), "{path}");
+    }
+    for path in ["/%", "/a%", "/%4", "/%zz", "/%4g/", "/%%41", "/a%2", "/%u1234"] {
+        assert!(!has_valid_escapes(path), "{path}");
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -23,7 +23,7 @@
 use super::counting::count_request;
 use super::framing::HeadBytes;
 use super::state::Gateway;
-use crate::catalog::{Catalog, Route, find_target};
+use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, REQUEST_ID, SHARD_KEY};
 use crate::types::{PoolName, Reason, UpstreamName, Verdict};
@@ -206,6 +206,9 @@
         ));
     };
     let (mut head, body) = request.into_parts();
+    if !has_valid_escapes(head.uri.path()) {
+        return Err(refuse(Reason::BadPath));
+    }
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let (host, path) = find_target(&head.uri, host);
     let route = catalog.find_route(host, path).ok_or(refuse(Reason::NoRoute))?.clone();
@@ -235,6 +238,7 @@
     let bytes = body.0.as_deref().unwrap_or_default();
     let fingerprint = Fingerprint::of(head.method.as_str(), path, bytes);
     if is_refused(gateway, fingerprint) {
+        log_blocked(gateway, &id, fingerprint);
         return Err(refuse_suspect());
     }
     gateway.record_request(arrived, &pool);
@@ -299,6 +303,7 @@
         // The request may have become blocked since it arrived.
         if gateway.suspects.borrow().is_blocked(ctx.fingerprint) {
             if is_refused(gateway, ctx.fingerprint) {
+                log_blocked(gateway, &ctx.id, ctx.fingerprint);
                 return Err(refuse_suspect());
             }
             gateway.suspects.borrow_mut().record_trial(ctx.fingerprint);
@@ -358,6 +363,12 @@
         && !suspects.is_trial_due(Instant::now(), &gateway.settings.host, hosts.keys(), request)
 }
 
+/// Logs which request is blocked; the lines about its crashes have the same fingerprint.
+fn log_blocked(gateway: &Gateway, id: &HeaderValue, request: Fingerprint) {
+    warn!(gateway.log, "request is blocked: it crashes upstreams"; "request" => id.to_str().unwrap_or_default(),
+        "fingerprint" => %request);
+}
+
 /// Builds the refusal of a request that crashes upstreams. Callers are not told to come back.
 fn refuse_suspect() -> Refusal {
     Refusal {
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -88,6 +88,8 @@
     KeyMissing = "key-missing", 400;
     /// A header of the request doesn't parse, or its framing is ambiguous.
     BadHeader = "bad-header", 400;
+    /// The path has an invalid percent escape.
+    BadPath = "bad-path", 400;
     /// The body is larger than the configuration allows.
     BodyTooLarge = "body-too-large", 413;
     /// The caller's body ended early or was too slow.
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -386,6 +386,16 @@
     assert_eq!(cluster.run_count("r-1"), 0);
 }
 
+/// Guards against a path with a broken percent escape that reaches a server.
+#[test]
+fn a_request_with_a_broken_percent_escape_is_rejected() {
+    let cluster = Cluster::start(1);
+    assert_eq!(cluster.call(0, "POST", "/renovaciones/7%zz", "r-1", None).status, 400);
+    assert_eq!(cluster.call(0, "POST", "/renovaciones/7%41", "r-2", None).status, 200);
+    assert_eq!(cluster.run_count("r-1"), 0);
+    assert_eq!(cluster.run_count("r-2"), 1);
+}
+
 /// Guards against keys that are no longer served after the host that grants them was killed, or while the
 /// store is down.
 #[test]
