Let parallel soaks keep their own settings, and count a server's leaving from its first response

Settings of gateways were in front-N.yaml, the same file for all soaks in one folder, so a gateway that one soak started again read the settings of another. The file has the seed in its name now.

The check assumed that each gateway gets a response of each server within a second, which doesn't hold since gateways prefer servers that they are connected to. What is asked counts from the answer that told of the leaving, so the check now counts from the first request of the phase.

--- a/standins/src/soak/directives.rs
+++ b/standins/src/soak/directives.rs
@@ -93,7 +93,11 @@
         ));
     }
     let leaving = find_arrivals(records, phase, LEAVING);
-    let count = leaving.iter().filter(|(at, _)| *at > LEARN_MS + DRAIN_MS).count();
+    // The first request of the phase tells a gateway, and that one the others, that the server is leaving. None may
+    // have been sent before, if the gateways had no connection to the server.
+    let told = leaving.iter().map(|(at, _)| *at).min().unwrap_or_default();
+    let late = leaving.iter().filter(|(at, _)| *at > told + LEARN_MS + DRAIN_MS);
+    let count = late.count();
     if count > 0 {
         violations.push(format!(
             "a server that is leaving got {count} requests later than {DRAIN_MS} ms after that"
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -332,7 +332,7 @@
             "host: front-{index}\nzone: zone-{index}\nlisten: {{ callers: '{callers}', ready: '{any_port}', \
              peers: '{any_port}', metrics: '{any_port}' }}\nstore: '{store}'\nbounds: ['grace=6s']\n"
         );
-        let path = self.folder.join(format!("front-{index}.yaml"));
+        let path = self.folder.join(format!("front-{index}-{}.yaml", self.seed));
         fs::write(&path, settings).map_err(|e| e.to_string())?;
         let log = self.folder.join(format!("front-{index}-{}.log", self.seed));
         let log = File::options()
