Correct two comments

Cause: read as a newcomer, the comment of empty_report_does_not_count_as_crash told of a case that the test doesn't play, and "by lot" is no usual term. Result: comments only.

--- a/src/fleet/tests/sharing.rs
+++ b/src/fleet/tests/sharing.rs
@@ -171,8 +171,7 @@
     assert!(homes_used.len() > HOST_COUNT * 9 / 10, "{} homes", homes_used.len());
 }
 
-/// Guards against a report of a host that is applied although another host has sent a later one: homes pass on what
-/// they have, so an older copy may arrive after a newer one.
+/// Guards against a report without crashes that counts as a crash or is passed on to all hosts.
 #[test]
 fn empty_report_does_not_count_as_crash() {
     let mut suspects = Suspects::default();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -326,7 +326,7 @@
         );
     }
 
-    /// Decides by lot whether a request for an owner of keys is admitted; all are unless the owner is overloaded.
+    /// Decides at random whether a request for an owner of keys is admitted; all are unless the owner is overloaded.
     pub(crate) fn admits_by_share(&self, now: Instant, owner: &UpstreamName) -> bool {
         let admissions = self.admissions.borrow();
         let share = admissions
