Review scripts: record each request and run, and exit with 2 on their own faults

Cause: the scripts recorded only totals of the load, and a fault of a script itself would have ended with 1, as if the rule were broken.

--- a/review/2/play.py
+++ b/review/2/play.py
@@ -85,7 +85,7 @@
         number = 0
         while not over.is_set():
             number += 1
-            answer = deployment.call(name, "GET", "/flotas/7", f"load-{name}-{number}", quiet=True)
+            answer = deployment.call(name, "GET", "/flotas/7", f"load-{name}-{number}")
             served[0] += answer.status == 200
             time.sleep(0.05)
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -149,7 +150,7 @@
                     break
                 time.sleep(0.1)
 
-    def call(self, gateway, method, path, request, key=None, body=b"", deadline_ms=2000, quiet=False):
+    def call(self, gateway, method, path, request, key=None, body=b"", deadline_ms=2000):
         """Sends one request over a new connection and records what came back."""
         headers = {"Host": HOST, "X-Ragworthub-Request-Id": request, "X-Ragworthub-Deadline-Ms": str(deadline_ms)}
         if key is not None:
@@ -157,9 +158,8 @@
         address = ("127.0.0.1", self.gateways[gateway]["ports"]["callers"])
         sent = time.time()
         answer = exchange(address, method, path, headers, body, deadline_ms / 1000 + 1.0)
-        if not quiet:
-            self.record(f"request {request} {method} {path} to {gateway}: {answer} after "
-                        f"{(time.time() - sent) * 1000:.0f} ms")
+        self.record(f"request {request} {method} {path} to {gateway}, {len(body)} bytes: {answer} after "
+                    f"{(time.time() - sent) * 1000:.0f} ms")
         return answer
 
     def read_events(self):
@@ -176,6 +176,8 @@
         return rows
 
     def close(self):
+        for at, server, name, value in self.read_events():
+            self.record(f"at {at / 1000 - self.start:.3f} server {server}: {name} {value}")
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -183,10 +185,7 @@
         for process in self.processes:
             process.wait()
         self.record_file.close()
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(self.dir, ignore_errors=True)
-        else:
-            print(self.dir)
+        shutil.rmtree(self.dir, ignore_errors=True)
 
 
 class Answer:
@@ -248,6 +247,8 @@
 
 def run_case(case_dir, play):
     """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    # Ends the processes also if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(case_dir)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
@@ -256,9 +257,9 @@
         code = 1 if broken else 0
         deployment.record(f"result: {'broken' if broken else 'held'} (TROUBLE={int(trouble)})")
         print("broken" if broken else "held")
-    except CannotRun as error:
-        deployment.record(f"couldn't run: {error}")
-        print(f"couldn't run: {error}")
+    except Exception as error:  # noqa: BLE001, a fault of the script says nothing of the rule
+        deployment.record(f"couldn't run: {type(error).__name__}: {error}")
+        print(f"couldn't run: {type(error).__name__}: {error}")
     finally:
         deployment.close()
     raise SystemExit(code)
