--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -14,7 +14,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use clap::ValueEnum;
 use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,10 @@
     pub crash: CrashMode,
 }
 
+/// Part of the path of requests that get a response of [`LARGE_BYTES`].
+pub const LARGE_PATH: &str = "large";
+/// Size of the body of a large response.
+pub const LARGE_BYTES: usize = 8 << 20;
 /// Part of the path of requests that crash the server.
 pub const CRASH_PATH: &str = "crash";
 /// Delay between the last byte of a response and the end of the process, so that the bytes are sent first.
@@ -463,6 +467,9 @@
             StatusCode::OK
         };
         let id = if fault == ServerFault::WrongId { "another" } else { &id };
+        if request.uri().path().contains(LARGE_PATH) && request.method() == Method::GET {
+            return self.build_reply(status, id, true, vec![b'l'; LARGE_BYTES].into());
+        }
         let text = json!({ "server": self.config.name, "path": request.uri().path(), "request": id }).to_string();
         let length = text.len() * 2;
         match (self.build_reply(status, id, true, text.into()), fault) {
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod directives;
 mod hostile;
 mod stops;
+#[allow(dead_code, reason = "each test program uses a part of the module")]
 mod support;
 
 use std::collections::BTreeMap;
--- a/standins/tests/gateway/support/mod.rs
+++ b/standins/tests/gateway/support/mod.rs
@@ -50,6 +50,25 @@
         tasks.flatten().all(is_stopped)
     }
 
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns the largest resident memory that the process has had.
+    pub fn peak_memory_mb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|text| text.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+        kilobytes.expect("a line `VmHWM: N kB`") >> 10
+    }
+
+    /// Returns the number of open descriptors of the process.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .unwrap()
+            .count()
+    }
+
     /// Waits for the process to end and returns its exit code.
     pub fn wait_exit_code(&mut self) -> Option<i32> {
         wait_for("the process to end", || self.child.try_wait().unwrap()).code()
