--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -51,13 +51,18 @@
 pub(crate) struct Fingerprint(u64);
 
 impl Fingerprint {
-    pub(crate) fn of(method: &str, path: &str, body: &[u8]) -> Self {
+    /// Hashes a request; the segments of the body count as one piece.
+    pub(crate) fn of<'a>(method: &str, path: &str, body: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        // Delimits the pieces, so that different requests don't hash the same bytes.
+        const DELIMITER: &[u8] = &[0];
         let mut hash = Xxh3::new();
-        for piece in [method.as_bytes(), path.as_bytes(), body] {
+        for piece in [method.as_bytes(), DELIMITER, path.as_bytes(), DELIMITER] {
             hash.update(piece);
-            // Delimits the pieces, so that different requests don't hash the same bytes.
-            hash.update(&[0]);
         }
+        for segment in body {
+            hash.update(segment);
+        }
+        hash.update(DELIMITER);
         Self(hash.digest())
     }
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -304,7 +304,7 @@
 const POISONOUS_BODY: &[u8] = b"1";
 
 fn poisonous() -> Fingerprint {
-    Fingerprint::of("POST", "/x", POISONOUS_BODY)
+    Fingerprint::of("POST", "/x", [POISONOUS_BODY])
 }
 
 /// Guards against a poisonous request that goes on crashing upstreams, and against blocking
@@ -312,7 +312,7 @@
 #[test]
 fn only_poisonous_request_is_blocked() {
     let start = Instant::now();
-    let harmless = Fingerprint::of("GET", "/y", b"");
+    let harmless = Fingerprint::of("GET", "/y", []);
     let (mut view, other) = (CrashView::default(), name("other"));
     for round in 0..3_u64 {
         let now = start + ms(2_000 * round);
@@ -332,7 +332,7 @@
 #[test]
 fn simultaneous_crashes_do_not_block_request() {
     let now = Instant::now();
-    let request = Fingerprint::of("GET", "/y", b"");
+    let request = Fingerprint::of("GET", "/y", []);
     let mut view = CrashView::default();
     for number in 0..5 {
         let upstream = name(&format!("u{number}"));
@@ -461,7 +461,7 @@
 #[test]
 fn frequent_request_is_not_blocked_when_all_upstreams_end() {
     let start = Instant::now();
-    let request = Fingerprint::of("POST", "/renovaciones/1", b"");
+    let request = Fingerprint::of("POST", "/renovaciones/1", []);
     let mut view = CrashView::default();
     let upstreams: Vec<UpstreamName> = (0..3).map(|number| name(&format!("u{number}"))).collect();
     for round in 0..10 {
@@ -522,7 +522,7 @@
     let mut view = CrashView::default();
     for number in 0..5_000 {
         let (sent, upstream) = (start + ms(number), name(&format!("u{}", number % 80)));
-        let request = Fingerprint::of("GET", &format!("/{number}"), b"");
+        let request = Fingerprint::of("GET", &format!("/{number}"), []);
         view.run(sent, (sent + ms(20), RunEnd::Broken), &upstream, request);
         view.end_upstream(sent + ms(100), &upstream);
     }
--- a/src/fleet/tests/sharing.rs
+++ b/src/fleet/tests/sharing.rs
@@ -92,10 +92,10 @@
     let start = Instant::now();
     let mut network = Network::new();
     let own_requests = 8;
-    let frequent = Fingerprint::of("GET", "/frequent", b"");
+    let frequent = Fingerprint::of("GET", "/frequent", []);
     for host in 0..HOST_COUNT {
         for number in 0..own_requests - 1 {
-            let request = Fingerprint::of("GET", &format!("/{host}/{number}"), b"");
+            let request = Fingerprint::of("GET", &format!("/{host}/{number}"), []);
             network.crash(host, request, &format!("u{}", (host + number) % 180), start);
         }
         network.crash(host, frequent, &format!("u{}", host % 180), start);
@@ -138,7 +138,7 @@
 fn response_seen_by_another_host_clears_a_request() {
     let start = Instant::now();
     let mut network = Network::new();
-    let request = Fingerprint::of("GET", "/frequent", b"");
+    let request = Fingerprint::of("GET", "/frequent", []);
     for (number, host) in [(0, 7), (1, 120), (2, 251)] {
         network.crash(host, request, &format!("u{number}"), start + ms(10_000 * number));
         network.suspects[40].record_served(request, start + ms(10_000 * number + 5_000));
@@ -157,7 +157,7 @@
         HostRing::new(network.hosts.iter()),
         HostRing::new(network.hosts[1..].iter()),
     );
-    let requests = (0..3_000).map(|number| Fingerprint::of("GET", &format!("/{number}"), b""));
+    let requests = (0..3_000).map(|number| Fingerprint::of("GET", &format!("/{number}"), []));
     let mut homes_used = BTreeSet::new();
     for request in requests {
         let before: Vec<_> = ring.homes(request).collect();
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -19,8 +19,10 @@
 use super::attempt::SILENCE_MIN;
 use super::connections::{Sender, read_keep_alive};
 use super::crashes::{record_heard, request_check};
+use super::framing::Caller;
 use super::state::Gateway;
 use crate::fleet::{Fingerprint, Run, RunEnd};
+use crate::memory::Reservation;
 use crate::platform::REQUEST_ID;
 use crate::types::{Reason, UpstreamName, Verdict};
 
@@ -145,9 +147,47 @@
         guard: AttemptGuard,
         /// Ends at the request's deadline.
         timer: Pin<Box<Sleep>>,
+        /// Memory that the response takes on its way; returned when the body is dropped.
+        _reservation: Reservation,
     },
 }
 
+/// Body of a response on its connection, which is idle again once the body has been sent or dropped.
+#[derive(Debug)]
+pub(crate) struct CallerBody {
+    body: ResponseBody,
+    caller: Caller,
+}
+
+impl CallerBody {
+    pub(crate) fn new(body: ResponseBody, caller: Caller) -> Self {
+        Self { body, caller }
+    }
+}
+
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        self.caller.end_request();
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Why the body of a response is incomplete.
 #[derive(Debug, Display, Error)]
 pub(crate) enum BodyError {
@@ -164,7 +204,7 @@
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
-            Self::Upstream { body, guard, timer } => {
+            Self::Upstream { body, guard, timer, .. } => {
                 // First, as a body without end may always have a frame ready.
                 if timer.as_mut().poll(cx).is_ready() {
                     guard.log_broken_body(&BodyError::DeadlineExceeded);
@@ -232,6 +272,14 @@
         }
     }
 
+    /// Reports whether the request is refused although its body hasn't been read to the end.
+    pub(crate) fn leaves_body_unread(self) -> bool {
+        matches!(
+            self.reason,
+            Reason::BodyTooLarge | Reason::BodyIncomplete | Reason::MemoryFull
+        )
+    }
+
     pub(crate) fn into_response(self, id: Option<&HeaderValue>) -> Response<ResponseBody> {
         let mut response = Response::new(ResponseBody::Empty);
         *response.status_mut() = self.status();
@@ -241,6 +289,9 @@
         }
         headers.insert(VERDICT, HeaderValue::from_static(self.verdict.as_str()));
         headers.insert(REASON, HeaderValue::from_static(self.reason.as_str()));
+        if self.leaves_body_unread() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(time) = self.retry_after {
             let seconds = format!("{:.3}", time.as_secs_f64());
             let value = HeaderValue::from_str(&seconds).expect("digits and a point form a valid header value");
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,14 +12,17 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
+use super::body::BufferedBody;
+use super::connect::READ_BUFFER_MAX;
 use super::connections::Sender;
 use super::crashes::{record_heard, request_check};
 use super::directives::apply_directives;
 use super::peers::Message;
-use super::request::{BufferedBody, RequestContext};
+use super::request::RequestContext;
 use super::state::Gateway;
 use crate::catalog::Idempotency;
 use crate::fleet::{Outcome, RunEnd};
+use crate::memory::{Holder, Reservation};
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE, read_load};
 use crate::types::{Reason, UpstreamName, Verdict};
 
@@ -33,6 +36,10 @@
 /// The same as a multiple of the route's typical latency.
 const SILENCE_FACTOR: u32 = 3;
 
+/// Largest memory that a response takes on its way: the read buffer of the upstream's connection, a frame of the same
+/// size in transit, and the write buffer of the caller's connection.
+const RESPONSE_BUFFER_BYTES: usize = 3 * READ_BUFFER_MAX;
+
 /// Why an attempt failed, and whether the upstream may have run the request.
 pub(super) struct Failure {
     pub(super) reason: Reason,
@@ -295,7 +302,7 @@
             entry.load.record_latency(now, ratio);
         }
     }
-    let response = forward_response(ctx, response, guard);
+    let response = forward_response(gateway, ctx, response, guard);
     if is_server_error {
         return Err(Failure {
             reason: Reason::UpstreamFailed,
@@ -306,7 +313,22 @@
     Ok(response)
 }
 
+/// Reserves the memory that a response takes on its way. A response can't be refused any more: if the budget has no
+/// room, the connection of the caller that has read nothing for the longest time is closed.
+fn reserve_response(gateway: &Gateway, body: &Incoming) -> Reservation {
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let bytes = length.unwrap_or(RESPONSE_BUFFER_BYTES).min(RESPONSE_BUFFER_BYTES);
+    let reservation = gateway.memory.reserve(Holder::Response, bytes);
+    if gateway.memory.is_exceeded() && gateway.callers.borrow_mut().close_unread(Instant::now()) {
+        gateway.metrics.count_closed_caller("unread");
+        warn!(gateway.log, "memory for callers is used up; closed the connection of a caller that doesn't read";
+            "held" => gateway.memory.held(Holder::Response), "memory_limit" => gateway.memory.total());
+    }
+    reservation
+}
+
 fn forward_response(
+    gateway: &Gateway,
     ctx: &RequestContext,
     response: Response<Incoming>,
     mut guard: AttemptGuard,
@@ -321,6 +343,7 @@
     let has_body = ctx.head.method != Method::HEAD && !body.is_end_stream();
     let body = if has_body {
         ResponseBody::Upstream {
+            _reservation: reserve_response(gateway, &body),
             body,
             guard,
             timer: Box::pin(sleep_until(ctx.deadline)),
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,5 +1,6 @@
 //! Listens for callers, readiness probes and scrapes of the metrics.
 
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,17 +15,22 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{Instant, sleep};
 
-use super::framing::{CallerStream, HeadBytes};
+use super::framing::{CONNECTION_BYTES, Caller, CallerStream, linger};
 use super::request::serve;
 use super::state::Gateway;
+use crate::memory::{Holder, Reservation};
 
 /// Limit on the head of a request while there is no configuration.
 const DEFAULT_HEAD_MAX_BYTES: usize = 64 << 10;
 /// Idle timeout of a caller's connection while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum number of open connections for readiness checks, and of those for metrics.
+const STATUS_CONNECTIONS_MAX: usize = 32;
+/// Number of turns of the scheduler for which a new connection waits for another one to close.
+const CLOSE_TURNS_MAX: usize = 16;
 /// Delay before the next accept after one failed, for instance because no file descriptor was left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -78,10 +84,10 @@
     }));
 }
 
-async fn accept_connection(gateway: &Gateway, listener: &TcpListener) -> TcpStream {
+async fn accept_connection(gateway: &Gateway, listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok(accepted) => return accepted,
             Err(error) => {
                 warn!(gateway.log, "connection not accepted; trying again shortly"; "error" => %error);
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -92,29 +98,66 @@
 
 async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let stream = accept_connection(&gateway, &listener).await;
+        let (stream, address) = accept_connection(&gateway, &listener).await;
+        let Some(reservation) = admit_caller(&gateway, address).await else {
+            continue;
+        };
+        let (number, progress) = gateway.callers.borrow_mut().add(Instant::now());
+        let caller = Caller::new(address, number, progress, reservation);
         // Without TCP_NODELAY, responses wait for acknowledgements. A failure only adds latency.
         let _ = stream.set_nodelay(true);
-        spawn_local(serve_caller(Rc::clone(&gateway), stream));
+        spawn_local(serve_caller(Rc::clone(&gateway), stream, caller));
     }
 }
 
-async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
+/// Reserves memory for a new connection. If there is no room for it, the connection that uses its room least is closed;
+/// without one the new connection is refused.
+async fn admit_caller(gateway: &Gateway, address: SocketAddr) -> Option<Reservation> {
+    let limit = gateway.caller_limit();
+    let try_admit = || {
+        let has_room = gateway.callers.borrow().open_count() < limit;
+        let reserve = || gateway.memory.try_reserve(Holder::Connection, CONNECTION_BYTES);
+        has_room.then(reserve).flatten()
+    };
+    if let Some(reservation) = try_admit() {
+        return Some(reservation);
+    }
+    let is_closed = gateway.callers.borrow_mut().close_one(Instant::now());
+    gateway
+        .metrics
+        .count_closed_caller(if is_closed { "no-room" } else { "refused" });
+    warn!(gateway.log, "no room for a further connection of callers"; "caller" => %address, "limit" => limit,
+        "open" => gateway.callers.borrow().open_count(), "closed_another" => is_closed);
+    // The closed connection returns its descriptor and its memory when its task runs next.
+    for _ in 0..if is_closed { CLOSE_TURNS_MAX } else { 0 } {
+        yield_now().await;
+        if let Some(reservation) = try_admit() {
+            return Some(reservation);
+        }
+    }
+    None
+}
+
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, caller: Caller) {
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
     let (head_max, idle) = match gateway.catalog.borrow().as_ref() {
         Some(catalog) => (catalog.limits.header_bytes.max(8_192), catalog.limits.idle_time),
         None => (DEFAULT_HEAD_MAX_BYTES, DEFAULT_IDLE_TIMEOUT),
     };
     let state = Rc::clone(&gateway);
-    let head = HeadBytes::default();
-    let stream = CallerStream::new(stream, head.clone());
-    let service = service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request, head.clone()));
+    let stream = Rc::new(RefCell::new(stream));
+    let service_caller = caller.clone();
+    let service =
+        service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request, service_caller.clone()));
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head_max)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(Rc::clone(&stream), caller.clone())),
+            service,
+        );
+    let mut connection = Box::pin(connection);
     let drain_started = gateway.drain_started.notified();
     tokio::pin!(drain_started);
     drain_started.as_mut().enable();
@@ -124,12 +167,19 @@
     tokio::select! {
         // An error concerns only the caller of this connection, who sees it too.
         _ = connection.as_mut() => {}
+        () = caller.wait_for_close() => {}
         () = drain_started => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection.as_mut() => {}
+                () = caller.wait_for_close() => {}
+            }
         }
     }
+    drop(connection);
     gateway.caller_connections.set(gateway.caller_connections.get() - 1);
+    linger(stream, &caller).await;
+    gateway.callers.borrow_mut().remove(caller.number());
 }
 
 /// Responds to each request with the status and text that `status` returns.
@@ -138,8 +188,15 @@
     listener: TcpListener,
     status: impl Fn() -> (StatusCode, String) + Clone + 'static,
 ) {
+    let open = Rc::new(Cell::new(0));
     loop {
-        let stream = accept_connection(&gateway, &listener).await;
+        let (stream, address) = accept_connection(&gateway, &listener).await;
+        if open.get() >= STATUS_CONNECTIONS_MAX {
+            warn!(gateway.log, "connection for the status refused: too many are open"; "caller" => %address);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
         let status = status.clone();
         let service = service_fn(move |_: Request<Incoming>| {
             let (status, text) = status();
@@ -148,7 +205,12 @@
             async move { Ok::<_, Infallible>(response) }
         });
         spawn_local(async move {
-            let _ = Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            open.set(open.get() - 1);
         });
     }
 }
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -26,6 +26,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Limit on the body of a response to a call: a page of 1 MB in base64, within JSON, must fit.
 const RESPONSE_MAX_BYTES: usize = 4 << 20;
+/// Size to which the read buffer of a connection may grow, and so the largest head of a response.
+pub(super) const READ_BUFFER_MAX: usize = 64 << 10;
 /// Maximum number of idle connections kept for one endpoint.
 const IDLE_MAX: usize = 4;
 
@@ -47,7 +49,10 @@
     let opened = timeout(connect_timeout, TcpStream::connect(address)).await;
     let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     set_socket_options(&stream)?;
-    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake = Builder::new()
+        .max_buf_size(READ_BUFFER_MAX)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     spawn_local(async move {
         // A request in flight on the connection gets the error itself.
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,6 +1,6 @@
 //! Connection pools for callers' requests, one for each upstream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,8 +10,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
+use super::body::BufferedBody;
 use super::connect::connect;
-use super::request::BufferedBody;
 use crate::types::UpstreamName;
 
 /// Upper limit of the idle timeout, and its value if the upstream states none; upstreams close idle
@@ -50,9 +50,31 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Connections {
     pools: Rc<RefCell<BTreeMap<UpstreamName, ConnectionPool>>>,
+    /// Number of connections to all upstreams above which idle ones are closed.
+    limit: usize,
+    open: Rc<Cell<usize>>,
 }
 
 impl Connections {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
+    /// Closes the connection that has been idle for the longest time.
+    fn close_idle(&self) {
+        let mut pools = self.pools.borrow_mut();
+        let oldest = pools
+            .values_mut()
+            .filter(|pool| !pool.idle.is_empty())
+            .min_by_key(|pool| pool.idle[0].since);
+        let closed = oldest.map(|pool| pool.idle.remove(0));
+        drop(pools);
+        drop(closed);
+    }
+
     /// Reports whether a request can use an idle connection or open a new one within the limit.
     pub(crate) fn has_room(&self, upstream: &UpstreamName, limit: u32) -> bool {
         let pools = self.pools.borrow();
@@ -103,6 +125,10 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> std::io::Result<Sender> {
+        if self.open.get() >= self.limit {
+            self.close_idle();
+        }
+        self.open.set(self.open.get() + 1);
         {
             let mut pools = self.pools.borrow_mut();
             let pool = pools.entry(upstream.clone()).or_default();
@@ -157,6 +183,8 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
+        let open = &self.connections.open;
+        open.set(open.get().saturating_sub(1));
         let mut pools = self.connections.pools.borrow_mut();
         if let Some(pool) = pools.get_mut(&self.upstream) {
             pool.open = pool.open.saturating_sub(1);
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -1,32 +1,89 @@
-//! Detects requests with ambiguous framing, which enables request smuggling.
+//! Connection of a caller: its stream, and what is known of the request that it carries.
 //!
-//! If a request has both `Transfer-Encoding` and `Content-Length`, the HTTP library removes the latter
-//! before the request can be inspected. Each connection therefore keeps the bytes of the head until the
-//! request has been answered.
+//! If a request has both `Transfer-Encoding` and `Content-Length`, which enables request smuggling, the HTTP library
+//! removes the latter before the request can be inspected. Each connection therefore keeps the bytes of the head until
+//! the request has been answered.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use http::header::CONTENT_LENGTH;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep, timeout};
+
+use crate::memory::{CallerState, Progress, Reservation};
 
 /// Maximum number of bytes kept of a head; longer heads exceed the limit of any deployment.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 /// Maximum number of headers parsed, which is also the limit of the HTTP library.
 const HEADERS_MAX: usize = 100;
+/// End of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Memory of a connection without a request: the buffers of the HTTP library and the state of its task.
+pub(super) const CONNECTION_BYTES: usize = 16 << 10;
+/// Time for which a caller may read nothing of a response. It is longer than the timeouts of requests.
+const UNREAD_MAX: Duration = Duration::from_secs(15);
+/// Time for which a connection is read after a response to a request whose body wasn't read. Closing a socket with
+/// unread bytes resets the connection, and a reset can destroy the response on its way.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Maximum number of bytes discarded in that time.
+const LINGER_MAX_BYTES: usize = 1 << 20;
+
+#[derive(Debug)]
+struct CallerShared {
+    address: SocketAddr,
+    number: u64,
+    progress: Rc<Progress>,
+    /// First bytes of the request that the connection is reading.
+    head: RefCell<Vec<u8>>,
+    is_head_complete: Cell<bool>,
+    /// Memory of the connection and of the head.
+    reservation: RefCell<Reservation>,
+    /// A response has been given to a request whose body wasn't read to its end.
+    has_unread_body: Cell<bool>,
+}
+
+/// What is known of a connection of a caller and of the request that it carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller(Rc<CallerShared>);
+
+impl Caller {
+    pub(crate) fn new(address: SocketAddr, number: u64, progress: Rc<Progress>, reservation: Reservation) -> Self {
+        Self(Rc::new(CallerShared {
+            address,
+            number,
+            progress,
+            head: RefCell::default(),
+            is_head_complete: Cell::new(false),
+            reservation: RefCell::new(reservation),
+            has_unread_body: Cell::new(false),
+        }))
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// Number of the connection in the table of callers.
+    pub(crate) fn number(&self) -> u64 {
+        self.0.number
+    }
 
-/// First bytes of the request that a connection is reading.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadBytes(Rc<RefCell<Vec<u8>>>);
+    /// Waits until the connection has to close for want of room.
+    pub(crate) async fn wait_for_close(&self) {
+        self.0.progress.wait_for_close().await;
+    }
 
-impl HeadBytes {
     /// Reports whether the head has a `Content-Length` header.
     pub(crate) fn has_content_length(&self) -> bool {
-        let bytes = self.0.borrow();
+        let bytes = self.0.head.borrow();
         let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut head = httparse::Request::new(&mut headers);
         // Parsing fails if the head isn't at the start of the bytes, as on a pipelined connection.
@@ -36,48 +93,126 @@
             .any(|h| h.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()))
     }
 
-    /// Drops the bytes of a request that has been answered.
-    pub(crate) fn clear(&self) {
-        self.0.borrow_mut().clear();
+    /// Records that the head of a request has arrived.
+    pub(crate) fn begin_request(&self, has_body: bool) {
+        let state = if has_body {
+            CallerState::Body
+        } else {
+            CallerState::Serving
+        };
+        self.0.progress.set_state(Instant::now(), state);
+    }
+
+    /// Records that a request has arrived completely.
+    pub(crate) fn begin_serving(&self) {
+        self.0.progress.set_state(Instant::now(), CallerState::Serving);
+    }
+
+    /// Records that the request has been refused without reading its body to the end.
+    pub(crate) fn leave_body_unread(&self) {
+        self.0.has_unread_body.set(true);
+    }
+
+    /// Records that a request has been answered completely.
+    pub(crate) fn end_request(&self) {
+        self.0.progress.set_state(Instant::now(), CallerState::Idle);
+    }
+
+    /// Drops the head of a request whose response has begun.
+    pub(crate) fn clear_head(&self) {
+        self.0.head.borrow_mut().clear();
+        self.0.is_head_complete.set(false);
+        self.0.reservation.borrow_mut().shrink_to(CONNECTION_BYTES);
+    }
+
+    /// Keeps bytes that belong to the head; returns false if the memory budget has no room.
+    fn record_head(&self, received: &[u8]) -> bool {
+        if self.0.is_head_complete.get() {
+            return true;
+        }
+        let mut head = self.0.head.borrow_mut();
+        let room = HEAD_MAX_BYTES.saturating_sub(head.len());
+        let kept = &received[..received.len().min(room)];
+        // The HTTP library buffers the same bytes.
+        if !self.0.reservation.borrow_mut().try_grow(kept.len() * 2) {
+            return false;
+        }
+        let searched = head.len().saturating_sub(HEAD_END.len() - 1);
+        head.extend_from_slice(kept);
+        let is_complete = head[searched..].windows(HEAD_END.len()).any(|bytes| bytes == HEAD_END);
+        self.0.is_head_complete.set(is_complete);
+        true
     }
 }
 
-/// Connection of a caller that keeps the first bytes of the request being read.
+/// Stream of a caller, shared by the HTTP library and the task that closes it.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
-    stream: TcpStream,
-    head: HeadBytes,
+    stream: Rc<RefCell<TcpStream>>,
+    caller: Caller,
+    /// Ends a write for which the caller's reading is awaited too long.
+    unread_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, head: HeadBytes) -> Self {
-        Self { stream, head }
+    pub(crate) fn new(stream: Rc<RefCell<TcpStream>>, caller: Caller) -> Self {
+        Self {
+            stream,
+            caller,
+            unread_timer: None,
+        }
+    }
+
+    /// Calls a write operation of the stream, and fails if the caller has read nothing for too long.
+    fn write<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        operation: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let result = operation(Pin::new(&mut *self.stream.borrow_mut()), cx);
+        let is_blocked = result.is_pending();
+        if !is_blocked && self.unread_timer.is_none() {
+            return result;
+        }
+        self.caller.0.progress.record_write(Instant::now(), is_blocked);
+        if !is_blocked {
+            self.unread_timer = None;
+            return result;
+        }
+        let timer = self.unread_timer.get_or_insert_with(|| Box::pin(sleep(UNREAD_MAX)));
+        if timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        result
     }
 }
 
 impl AsyncRead for CallerStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let mut head = self.head.0.borrow_mut();
-        let room = HEAD_MAX_BYTES.saturating_sub(head.len());
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
         let received = &buf.filled()[before..];
-        head.extend_from_slice(&received[..received.len().min(room)]);
+        if !received.is_empty() {
+            self.caller.0.progress.record_read(Instant::now());
+            if !self.caller.record_head(received) {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+        }
         result
     }
 }
 
 impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.write(cx, |stream, cx| stream.poll_write(cx, bytes))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        self.write(cx, AsyncWrite::poll_flush)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.write(cx, AsyncWrite::poll_shutdown)
     }
 
     fn poll_write_vectored(
@@ -85,10 +220,24 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        self.write(cx, |stream, cx| stream.poll_write_vectored(cx, parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
+    }
+}
+
+/// Reads and discards what a caller still sends after the response to a request whose body wasn't read.
+pub(crate) async fn linger(stream: Rc<RefCell<TcpStream>>, caller: &Caller) {
+    if !caller.0.has_unread_body.get() {
+        return;
     }
+    // The HTTP library has dropped its half, so this is the only user left.
+    let Some(stream) = Rc::into_inner(stream) else {
+        return;
+    };
+    let mut stream = stream.into_inner().take(LINGER_MAX_BYTES as u64);
+    // The connection closes whatever happens here.
+    let _ = timeout(LINGER_TIME, tokio::io::copy(&mut stream, &mut tokio::io::sink())).await;
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod body;
 mod callers;
 mod choose;
 mod connect;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,30 +1,28 @@
 //! Serves one request: finds its route, chooses upstreams, makes attempts and returns the response.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
-use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body::Body;
 use hyper::body::Incoming;
 use rand::RngExt;
 use slog::{info, warn};
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::{Refusal, ResponseBody, strip_hop_by_hop_headers};
+use super::answer::{CallerBody, Refusal, ResponseBody, strip_hop_by_hop_headers};
 use super::attempt::attempt_once;
+use super::body::{BufferedBody, read_body};
 use super::choose::choose_upstream;
 use super::counting::count_request;
-use super::framing::HeadBytes;
+use super::framing::Caller;
 use super::state::Gateway;
 use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
+use crate::memory::Holder;
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, REQUEST_ID, SHARD_KEY};
 use crate::types::{PoolName, Reason, UpstreamName, Verdict};
 
@@ -34,30 +32,12 @@
 /// Range that `Retry-After` is drawn from while the host has no configuration or list of upstreams.
 const NOT_READY_RETRY_AFTER_MS: (u64, u64) = (100, 400);
 
+/// Range that `Retry-After` is drawn from while the memory for callers is used up: other bodies take about this time to
+/// be sent on or to be given up.
+const MEMORY_RETRY_AFTER_MS: (u64, u64) = (300, 1_500);
 /// Range that `Retry-After` is drawn from while the host stops: other hosts can take the request at once.
 const STOPPING_RETRY_AFTER_MS: (u64, u64) = (5, 30);
 
-/// Body of a request, completely read before the first attempt so that a retry can send it again.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct BufferedBody(Option<Bytes>);
-
-impl Body for BufferedBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Poll::Ready(self.0.take().map(|bytes| Ok(Frame::data(bytes))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.0.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.0.as_ref().map_or(0, |bytes| bytes.len() as u64))
-    }
-}
-
 /// Context of a request while it is being served.
 pub(super) struct RequestContext {
     pub(super) gateway: Rc<Gateway>,
@@ -125,11 +105,12 @@
 pub(crate) async fn serve(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
-    head_bytes: HeadBytes,
-) -> Result<Response<ResponseBody>, Infallible> {
+    caller: Caller,
+) -> Result<Response<CallerBody>, Infallible> {
     let arrived = Instant::now();
+    caller.begin_request(!request.body().is_end_stream());
     let id = request.headers().get(REQUEST_ID).cloned();
-    let response = match prepare(&gateway, arrived, id.clone(), request, &head_bytes).await {
+    let response = match prepare(&gateway, arrived, id.clone(), request, &caller).await {
         Ok(mut ctx) => {
             let result = tokio::select! {
                 biased;
@@ -141,6 +122,11 @@
             record_result(&gateway, &ctx, &result);
             result.unwrap_or_else(|refusal| refusal.into_response(id.as_ref()))
         }
+        Err(refusal) if refusal.leaves_body_unread() => {
+            log_unread_body(&gateway, id.as_ref(), refusal, &caller);
+            caller.leave_body_unread();
+            refusal.into_response(id.as_ref())
+        }
         Err(refusal) => {
             let text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             gateway.metrics.count_refusal(refusal.reason);
@@ -149,8 +135,23 @@
             refusal.into_response(id.as_ref())
         }
     };
-    head_bytes.clear();
-    Ok(response)
+    caller.clear_head();
+    Ok(response.map(|body| CallerBody::new(body, caller)))
+}
+
+/// Logs a body that wasn't read, with what an operator needs to find the client.
+fn log_unread_body(gateway: &Gateway, id: Option<&HeaderValue>, refusal: Refusal, caller: &Caller) {
+    gateway.metrics.count_refusal(refusal.reason);
+    let limit = gateway
+        .catalog
+        .borrow()
+        .as_ref()
+        .map(|catalog| catalog.limits.body_bytes);
+    warn!(gateway.log, "body not read to its end; the connection closes";
+        "request" => id.and_then(|id| id.to_str().ok()).unwrap_or_default(), "reason" => refusal.reason.as_str(),
+        "verdict" => refusal.verdict.as_str(), "status" => refusal.status().as_u16(), "body_limit" => limit,
+        "held" => gateway.memory.held(Holder::Body), "memory_limit" => gateway.memory.total(),
+        "caller" => %caller.address());
 }
 
 fn record_result(gateway: &Gateway, ctx: &RequestContext, result: &Result<Response<ResponseBody>, Refusal>) {
@@ -188,14 +189,14 @@
     arrived: Instant,
     id: Option<HeaderValue>,
     request: Request<Incoming>,
-    head_bytes: &HeadBytes,
+    caller: &Caller,
 ) -> Result<RequestContext, Refusal> {
     let refuse = |reason| Refusal::not_run(reason, None);
     let id = id.ok_or(refuse(Reason::BadHeader))?;
     let headers = request.headers();
     // Prevents request smuggling: the next parser on the path could use `Content-Length`, while the HTTP
     // library here uses `Transfer-Encoding`.
-    if headers.contains_key(TRANSFER_ENCODING) && head_bytes.has_content_length() {
+    if headers.contains_key(TRANSFER_ENCODING) && caller.has_content_length() {
         return Err(refuse(Reason::BadHeader));
     }
     let catalog = gateway.catalog.borrow().clone();
@@ -228,15 +229,18 @@
         None
     };
     let limit = catalog.limits.body_bytes;
-    let body = timeout_at(deadline, read_body(body, limit)).await;
-    let body = body.unwrap_or(Err(Reason::BodyIncomplete)).map_err(refuse)?;
+    let body = timeout_at(deadline, read_body(&gateway.memory, body, limit)).await;
+    let body = body.unwrap_or(Err(Reason::BodyIncomplete)).map_err(|reason| {
+        let retry_after = (reason == Reason::MemoryFull).then(|| draw_retry_after(gateway, MEMORY_RETRY_AFTER_MS));
+        Refusal::not_run(reason, retry_after)
+    })?;
+    caller.begin_serving();
     strip_hop_by_hop_headers(&mut head.headers);
     for name in [CONTENT_LENGTH, EXPECTED_INSTANCE] {
         head.headers.remove(name);
     }
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let bytes = body.0.as_deref().unwrap_or_default();
-    let fingerprint = Fingerprint::of(head.method.as_str(), path, bytes);
+    let fingerprint = Fingerprint::of(head.method.as_str(), path, body.segments());
     if is_refused(gateway, fingerprint) {
         log_blocked(gateway, &id, fingerprint);
         return Err(refuse_suspect());
@@ -270,24 +274,6 @@
     head.headers.get(SHARD_KEY)?.to_str().ok()?.trim().parse().ok()
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Result<BufferedBody, Reason> {
-    if body.is_end_stream() {
-        return Ok(BufferedBody(None));
-    }
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Reason::BodyIncomplete)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buffer.len() + data.len() > limit {
-            return Err(Reason::BodyTooLarge);
-        }
-        buffer.extend_from_slice(&data);
-    }
-    Ok(BufferedBody(Some(buffer.freeze())))
-}
-
 /// Draws the time of a `Retry-After` header from a range in milliseconds.
 pub(super) fn draw_retry_after(gateway: &Gateway, range: (u64, u64)) -> Duration {
     Duration::from_millis(gateway.rng.borrow_mut().random_range(range.0..=range.1))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use crate::counts::ProcessCounts;
 use crate::fleet::{Fleet, Runs, Suspects, Upstream};
 use crate::keys::{HostIncarnation, KeyTable};
+use crate::memory::{CallerTable, Holder, MemoryBudget};
 use crate::platform::{Bounds, Store};
 use crate::relay::Topic;
 use crate::settings::Settings;
@@ -44,6 +45,10 @@
 /// Share of a route's latency objective that is assumed as its typical latency before the first response.
 const INITIAL_TYPICAL_SHARE: f64 = 0.3;
 
+/// Share of the descriptors for connections of callers, and the same share for connections to upstreams. The rest is for
+/// listeners, the store, status checks and files.
+const CONNECTIONS_SHARE: f64 = 0.45;
+
 /// Entry with which a host announces itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Presence {
@@ -114,6 +119,10 @@
     pub(crate) is_stopping: Cell<bool>,
     /// Schedule of the shutdown, once it has started.
     pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
+    /// Memory that may be held for callers and upstreams.
+    pub(crate) memory: MemoryBudget,
+    /// Open connections of callers, except those that are closing for want of room.
+    pub(crate) callers: RefCell<CallerTable>,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
     /// Tells the connections of callers to close after the request in progress.
@@ -126,6 +135,16 @@
     pub(crate) answers_ended: Cell<bool>,
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "a number of descriptors"
+)]
+fn share_of_descriptors(descriptors: usize) -> usize {
+    (descriptors as f64 * CONNECTIONS_SHARE) as usize
+}
+
 impl Gateway {
     pub(crate) fn new(settings: Settings, log: Logger) -> Self {
         let bounds = settings.bounds();
@@ -135,6 +154,8 @@
             store: Store::new(settings.store, metrics.store_calls()),
             bounds,
             log,
+            memory: MemoryBudget::new(settings.memory_bytes()),
+            connections: Connections::new(share_of_descriptors(settings.descriptor_limit())),
             settings,
             started: Instant::now(),
             incarnation: u64::try_from(unix_time().as_millis()).unwrap_or(u64::MAX),
@@ -150,7 +171,6 @@
             catalog_changed: Cell::default(),
             owners_changed: Cell::default(),
             owners_refreshed: Cell::default(),
-            connections: Connections::default(),
             budgets: RefCell::default(),
             cold_limiters: RefCell::default(),
             cold_quotas: RefCell::default(),
@@ -168,6 +188,7 @@
             rng: RefCell::new(rng),
             is_stopping: Cell::new(false),
             shutdown: Cell::default(),
+            callers: RefCell::default(),
             caller_connections: Cell::new(0),
             drain_started: Notify::new(),
             is_draining: Cell::new(false),
@@ -210,6 +231,9 @@
             hosts: self.hosts.borrow().len(),
             is_grantor: self.grants.is_grantor(),
             is_degraded: self.store.is_degraded(now),
+            held: Holder::ALL.map(|holder| (holder, self.memory.held(holder))).into(),
+            memory_limit: self.memory.total(),
+            callers: self.caller_connections.get(),
         }
     }
 
@@ -251,6 +275,11 @@
         }
     }
 
+    /// Returns the number of connections that callers may have open.
+    pub(crate) fn caller_limit(&self) -> usize {
+        share_of_descriptors(self.settings.descriptor_limit())
+    }
+
     /// Returns the number of hosts that share the limits, including this one.
     pub(crate) fn host_count(&self) -> usize {
         self.hosts.borrow().len().max(1)
--- a/src/gateway/tests/crashes.rs
+++ b/src/gateway/tests/crashes.rs
@@ -33,7 +33,7 @@
         let now = Instant::now();
         gateway.fleet.borrow_mut().announce(now, announcement);
         let run = Run {
-            request: Fingerprint::of("GET", "/x", b""),
+            request: Fingerprint::of("GET", "/x", []),
             sent: now,
         };
         gateway.runs.borrow_mut().start(&name, run);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -93,6 +93,7 @@
         Ok(catalog) => {
             info!(gateway.log, "configuration in force"; "version" => %catalog.version, "offset" => offset.0,
                 "pools" => catalog.pools.len());
+            gateway.memory.set_largest_body(catalog.limits.body_bytes);
             *gateway.catalog.borrow_mut() = Some(Rc::new(catalog));
             gateway.reset_cold_quotas();
             gateway.catalog_changed.set(Some(Instant::now()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //!   store;
 //! - [`fleet`], [`keys`], [`budget`]: decisions without I/O: which upstream receives a request, which
 //!   upstream owns which keys, and limits that hold for all hosts together;
+//! - [`memory`]: limits on what this process holds for callers and upstreams;
 //! - [`relay`]: which hosts read the store on behalf of all;
 //! - [`counts`]: monthly totals of the requests that partners are billed for;
 //! - [`gateway`]: the process that supplies the input of the decisions and executes them;
@@ -28,6 +29,7 @@
 mod counts;
 mod fleet;
 mod keys;
+mod memory;
 mod relay;
 
 mod gateway;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -20,6 +20,12 @@
         /// more of the work done on behalf of all hosts.
         #[serde(default)]
         pub(crate) cores: Option<f64>,
+        /// Memory of the machine that the process may use, in MB.
+        #[serde(default)]
+        pub(crate) memory_mb: Option<usize>,
+        /// File descriptors that the process may open.
+        #[serde(default)]
+        pub(crate) descriptors: Option<usize>,
         /// Address of the platform's store.
         pub(crate) store: SocketAddr,
         /// Bounds of the deployment, each as `name=value`.
@@ -39,6 +45,12 @@
 }
 
 const DEFAULT_CORES: f64 = 1.0;
+const DEFAULT_MEMORY_MB: usize = 256;
+const DEFAULT_DESCRIPTORS: usize = 4096;
+/// Least memory with which a gateway can serve requests.
+const MEMORY_MIN_MB: usize = 32;
+/// Least number of descriptors: those of the process itself and some for callers.
+const DESCRIPTORS_MIN: usize = 64;
 /// Largest accepted number of cores; a larger one is a mistake.
 const CORES_MAX: f64 = 1024.0;
 
@@ -53,6 +65,16 @@
         (self.cores.unwrap_or(DEFAULT_CORES) * 1e3) as u32
     }
 
+    /// Returns the memory of the machine in bytes.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1_000_000)
+    }
+
+    /// Returns the number of descriptors that the process may open.
+    pub(crate) fn descriptor_limit(&self) -> usize {
+        self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
+    }
+
     /// Returns the decoded bounds.
     ///
     /// # Panics
@@ -76,6 +98,15 @@
             "cores: expected a number above 0 and at most {CORES_MAX}, found {cores}"
         ));
     }
+    let least = [
+        ("memory_mb", settings.memory_mb, MEMORY_MIN_MB),
+        ("descriptors", settings.descriptors, DESCRIPTORS_MIN),
+    ];
+    for (name, value, min) in least {
+        if let Some(value) = value.filter(|value| *value < min) {
+            return Err(format!("{name}: expected at least {min}, found {value}"));
+        }
+    }
     decode_bounds(settings.bounds.iter().map(String::as_str))?;
     Ok(settings)
 }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -31,6 +31,8 @@
         ("store:", "stor:", "stor"),
         ("store:", "cores: 0\nstore:", "cores"),
         ("store:", "cores: .nan\nstore:", "cores"),
+        ("store:", "memory_mb: 8\nstore:", "memory_mb"),
+        ("store:", "descriptors: 10\nstore:", "descriptors"),
         ("drain=2000ms", "drain=2000", "drain"),
     ] {
         let error = parse_settings(&SETTINGS.replace(from, to)).expect_err(named);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of a gateway.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::memory::Holder;
 use crate::types::{Reason, RouteName};
 
 /// Upper bounds of the latency histogram's buckets, from a fast response to the longest timeout.
@@ -51,6 +53,11 @@
     connection: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct HolderLabels {
+    holder: &'static str,
+}
+
 /// Calls to the store by kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StoreCalls(Family<CallLabels, Counter>);
@@ -84,6 +91,11 @@
     store_calls: StoreCalls,
     lease_calls: Family<CallLabels, Counter>,
     connections: Family<ConnectionLabels, Counter>,
+    closed_callers: Family<ReasonLabels, Counter>,
+    /// Bytes held for callers and upstreams.
+    held_bytes: Family<HolderLabels, Gauge>,
+    memory_limit: Gauge,
+    caller_connections: Gauge,
     configuration: Gauge,
     upstreams: Gauge,
     hosts: Gauge,
@@ -96,7 +108,7 @@
 }
 
 /// State of a host at the time of a scrape.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct StateSnapshot {
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) configuration: u64,
@@ -104,6 +116,11 @@
     pub(crate) hosts: usize,
     pub(crate) is_grantor: bool,
     pub(crate) is_degraded: bool,
+    /// Bytes held by purpose.
+    pub(crate) held: BTreeMap<Holder, usize>,
+    pub(crate) memory_limit: usize,
+    /// Number of open connections of callers.
+    pub(crate) callers: usize,
     /// Time since this host last knew all that the store holds.
     pub(crate) store_age: Option<Duration>,
     /// Time since the current configuration came into force.
@@ -127,6 +144,10 @@
             store_calls: StoreCalls::default(),
             lease_calls: Family::default(),
             connections: Family::default(),
+            closed_callers: Family::default(),
+            held_bytes: Family::default(),
+            memory_limit: Gauge::default(),
+            caller_connections: Gauge::default(),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
@@ -164,6 +185,7 @@
             metrics.crashes.clone(),
         );
         metrics.register_costs();
+        metrics.register_holdings();
         let r = &mut metrics.registry;
         for (name, help, gauge) in [
             (
@@ -230,6 +252,36 @@
         );
     }
 
+    /// Registers what is held for callers and upstreams, and what was closed for want of room.
+    fn register_holdings(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "closed_callers",
+            "Connections of callers that were closed or refused for want of room, by reason",
+            self.closed_callers.clone(),
+        );
+        r.register(
+            "held_bytes",
+            "Memory held for callers and upstreams by purpose",
+            self.held_bytes.clone(),
+        );
+        r.register(
+            "held_bytes_limit",
+            "Memory that may be held for callers and upstreams",
+            self.memory_limit.clone(),
+        );
+        r.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+    }
+
+    /// Counts a connection of a caller that was closed or refused for want of room.
+    pub(crate) fn count_closed_caller(&self, reason: &'static str) {
+        self.closed_callers.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     pub(crate) fn count_response(&self, route: &RouteName, status: u16) {
         let labels = RouteStatusLabels {
             route: route.clone(),
@@ -307,6 +359,14 @@
         self.hosts.set(count(snapshot.hosts));
         self.grantor.set(snapshot.is_grantor.into());
         self.degraded.set(snapshot.is_degraded.into());
+        for (holder, bytes) in snapshot.held {
+            let labels = HolderLabels {
+                holder: holder.as_str(),
+            };
+            self.held_bytes.get_or_create(&labels).set(count(bytes));
+        }
+        self.memory_limit.set(count(snapshot.memory_limit));
+        self.caller_connections.set(count(snapshot.callers));
         let seconds = |age: Option<Duration>| age.map_or(UNKNOWN_AGE_SECONDS, |age| age.as_secs_f64());
         self.store_age.set(seconds(snapshot.store_age));
         self.configuration_age.set(seconds(snapshot.configuration_age));
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -92,6 +92,8 @@
     BadPath = "bad-path", 400;
     /// The body is larger than the configuration allows.
     BodyTooLarge = "body-too-large", 413;
+    /// The memory that the host may hold for callers is used up.
+    MemoryFull = "memory-full", 503;
     /// The caller's body ended early or was too slow.
     BodyIncomplete = "body-incomplete", 400;
     /// The host has no configuration or list of upstreams yet.
--- a/standins/tests/memory/main.rs
+++ b/standins/tests/memory/main.rs
@@ -26,7 +26,7 @@
 /// Bound on open descriptors, which is also what the machine allows.
 const DESCRIPTORS_MAX: usize = 300;
 /// Settings that state the machine's limits.
-const MACHINE_SETTINGS: &str = "";
+const MACHINE_SETTINGS: &str = "memory_mb: 96\ndescriptors: 300\n";
 /// Connections of a crowd that sends bodies.
 const BODY_CROWD: usize = 24;
 /// Connections of a crowd that sends heads without an end.
