--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -11,5 +11,5 @@
 mod tests;
 
 pub(crate) use cold::{ColdLimiter, ColdQuota};
-pub(crate) use limit::RateLimiter;
+pub(crate) use limit::{Division, RateLimiter};
 pub(crate) use retry::{RetryBudget, RetryLimits};
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -322,6 +322,13 @@
         self.announcement.phase == Phase::Ready && self.leaving_since.is_none()
     }
 
+    /// Reports whether the upstream has joined, or its pause has ended, within a time. This host then has no open
+    /// connection to it.
+    pub(crate) fn is_new_since(&self, now: Instant, time: Duration) -> bool {
+        let pause_end = self.paused_until.filter(|&end| end <= now);
+        now < self.known_since.max(pause_end.unwrap_or(self.known_since)) + time
+    }
+
     /// Returns the end of the pause that the upstream wants, if it lasts.
     pub(crate) fn pause_end(&self, now: Instant) -> Option<Instant> {
         self.paused_until.filter(|&end| now < end)
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -3,7 +3,7 @@
 //! With many hosts and upstreams, each pair exchanges a request so seldom that connections would close before they are
 //! used again. So upstreams that this host has an idle connection to come first while one of them has room. Each host
 //! thereby uses a few upstreams in calm, more in a burst, and others than its neighbours. Some requests go to upstreams
-//! that have just joined, which otherwise would get none in calm.
+//! that have just joined or wanted a pause, which otherwise would get none in calm.
 //!
 //! Uses the power of d choices: the upstream with the lowest expected latency among a few drawn at
 //! random, in the host's own zone while that has room. Comparing all upstreams instead would let hosts
@@ -26,7 +26,7 @@
 const PREFER_ROOM: f64 = 1.35;
 /// Latency factor up to which an upstream with an idle connection counts as having room.
 const CONNECTED_ROOM: f64 = 1.2;
-/// Time for which an upstream is new to this host.
+/// Time for which an upstream is new to this host, after it has joined or its pause has ended.
 const NEWCOMER_TIME: Duration = Duration::from_secs(8);
 /// Share of the requests that go to new upstreams even if others have idle connections.
 const NEWCOMER_SHARE: f64 = 0.1;
@@ -69,7 +69,7 @@
             && has_room(u)
     };
     if rng.random_bool(NEWCOMER_SHARE) {
-        let is_new = |u: &&Upstream| now < u.known_since + NEWCOMER_TIME;
+        let is_new = |u: &&Upstream| u.is_new_since(now, NEWCOMER_TIME);
         let newcomers: Vec<&Upstream> = fleet.in_pool(criteria.pool).filter(is_new).filter(is_usable).collect();
         if let Some((upstream, factor)) = draw_best(now, &newcomers, rng)
             && factor <= PREFER_ROOM
--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -42,6 +42,8 @@
 const SERVED_EXPIRY: Duration = Duration::from_mins(1);
 /// Times after the last crash at which one host sends a blocked request again.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
+/// Ends the name under which the crashes are kept that a former process of a host has seen.
+const FORMER_SUFFIX: &str = ".former";
 /// Limit on the complete responses that are kept.
 const SERVED_MAX: usize = 65_536;
 
@@ -154,9 +156,15 @@
         }
     }
 
+    /// Returns how often the request has been sent although it is blocked. A process that has restarted knows the trials
+    /// before that only by the crashes that followed.
+    fn trial_count(&self) -> usize {
+        self.trials.max(self.count_crashes().saturating_sub(BLOCKING_CRASHES))
+    }
+
     fn is_trial_due(&self, now: Instant) -> bool {
         let last_crash = self.crashes.values().flatten().map(|crash| crash.noticed).max();
-        let delay = TRIAL_DELAYS.get(self.trials);
+        let delay = TRIAL_DELAYS.get(self.trial_count());
         last_crash
             .zip(delay)
             .is_some_and(|(last_crash, &delay)| now >= last_crash + delay)
@@ -247,6 +255,22 @@
         effect
     }
 
+    /// Keeps what the former process of a host has seen apart from what its new process reports. The new process doesn't
+    /// know the former crashes, so its reports would replace them, and it applies no reports in its own name.
+    pub(crate) fn retire_process(&mut self, host: &HostName) {
+        let Ok(former) = format!("{host}{FORMER_SUFFIX}").parse::<HostName>() else {
+            return;
+        };
+        for suspect in self.entries.values_mut() {
+            if let Some(crashes) = suspect.crashes.remove(host) {
+                let kept = suspect.crashes.entry(former.clone()).or_default();
+                kept.extend(crashes);
+                let surplus = kept.len().saturating_sub(CRASHES_MAX);
+                kept.drain(..surplus);
+            }
+        }
+    }
+
     /// Makes the report of a request due.
     pub(crate) fn request_report(&mut self, request: Fingerprint) {
         self.unsent.insert(request, REPORT_SENDS);
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -514,6 +514,69 @@
     assert!(trials.is_empty());
 }
 
+/// Guards against further trials by a host that has restarted and knows the earlier ones only by their crashes.
+#[test]
+fn restarted_host_counts_the_trials_before() {
+    let start = Instant::now();
+    let hosts: Vec<HostName> = vec!["a".parse().expect("valid name"), "b".parse().expect("valid name")];
+    let crash = |number: u64| Crash {
+        upstream: name(&format!("u{number}")),
+        heard: None,
+        sent: start + ms(number),
+        ended: start + ms(number),
+        noticed: start + ms(number),
+    };
+    let is_tried = |crashes: u64, second: u64| {
+        let mut suspects = Suspects::default();
+        let report = CrashReport {
+            crashes: (0..crashes).map(crash).collect(),
+            served: None,
+        };
+        suspects.apply_report(start, &hosts[1], poisonous(), report);
+        let now = start + ms(1_000 * second);
+        hosts
+            .iter()
+            .any(|own| suspects.is_trial_due(now, own, hosts.iter(), poisonous()))
+    };
+    assert!(is_tried(3, 6), "no trial before");
+    assert!(!is_tried(4, 6), "one trial before");
+    assert!(is_tried(4, 31));
+    assert!(!is_tried(5, 60), "two trials before");
+}
+
+/// Guards against a blocked request that a host sends on after a restart, because reports replaced or left out the
+/// crashes that its former process had seen.
+#[test]
+fn crashes_seen_by_a_former_process_still_count() {
+    let start = Instant::now();
+    let host = |text: &str| text.parse::<HostName>().expect("valid name");
+    let crash = |number: u64| Crash {
+        upstream: name(&format!("u{number}")),
+        heard: None,
+        sent: start + ms(number),
+        ended: start + ms(number),
+        noticed: start + ms(number),
+    };
+    let report = |crashes: Vec<Crash>| CrashReport { crashes, served: None };
+    let mut home = Suspects::default();
+    home.record_crash(start, &host("a"), poisonous(), crash(0));
+    home.apply_report(start, &host("b"), poisonous(), report(vec![crash(1), crash(2)]));
+    assert!(home.is_blocked(poisonous()));
+    home.retire_process(&host("b"));
+    home.apply_report(start, &host("b"), poisonous(), report(Vec::new()));
+    assert!(home.is_blocked(poisonous()));
+    let names = [host("a"), host("b")];
+    let ring = HostRing::new(names.iter());
+    home.request_report(poisonous());
+    let mut restarted = Suspects::default();
+    for (host, reports) in home.take_reports(&host("a"), &ring).to_all {
+        for (request, report) in reports.into_iter().filter(|_| host.as_str() != "b") {
+            restarted.apply_report(start, &host, request, report);
+        }
+    }
+    assert!(restarted.is_blocked(poisonous()));
+}
+
 /// Guards against missing a poisonous request because too many others ran at upstreams that ended, as when a zone of
 /// a large deployment is lost.
 #[test]
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -1,9 +1,10 @@
 //! Opens connections to the store and to upstreams, and makes calls that buffer the whole response.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
 
 /// Time without an acknowledgement after which a connection counts as lost. A lost packet is sent again
@@ -96,6 +98,39 @@
     pub(crate) address: SocketAddr,
     connect_timeout: Duration,
     idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    session: Rc<Session>,
+}
+
+/// Time without a gap in which at least one connection to an endpoint is open. A process that ends closes all its
+/// connections, so one session never spans two processes.
+#[derive(Debug, Default)]
+struct Session {
+    number: Cell<u64>,
+    open: Cell<usize>,
+}
+
+/// Number of a session of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SessionNumber(u64);
+
+/// Counts a connection as open until dropped.
+struct SessionGuard(Rc<Session>);
+
+impl SessionGuard {
+    fn new(session: &Rc<Session>) -> Self {
+        session.open.set(session.open.get() + 1);
+        Self(Rc::clone(session))
+    }
+}
+
+impl Drop for SessionGuard {
+    fn drop(&mut self) {
+        let session = &self.0;
+        session.open.set(session.open.get() - 1);
+        if session.open.get() == 0 {
+            session.number.set(session.number.get() + 1);
+        }
+    }
 }
 
 impl Endpoint {
@@ -104,9 +139,57 @@
             address,
             connect_timeout,
             idle: RefCell::default(),
+            session: Rc::default(),
         }
     }
 
+    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        // Counted only once it is open, as it must not bridge the gap between two processes.
+        let (close, closed) = oneshot::channel::<()>();
+        let sender = connect(self.address, self.connect_timeout, move || drop(close)).await;
+        let sender = sender.map_err(|e| classify_connect_error(&e))?;
+        let guard = SessionGuard::new(&self.session);
+        spawn_local(async move {
+            // Fails when the connection closes, which drops the other end.
+            let _ = closed.await;
+            drop(guard);
+        });
+        Ok(sender)
+    }
+
+    /// As [`Self::call`], but sends the request only to the process that accepted an earlier call in a session. Returns
+    /// the session of the call as well; without an earlier one, any process may answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `call` does, and with [`CallError::NotSent`] if all connections of the session have closed.
+    pub(crate) async fn call_in_session(
+        &self,
+        session: Option<SessionNumber>,
+        request: Request<Full<Bytes>>,
+        call_timeout: Duration,
+    ) -> Result<(Response<Bytes>, SessionNumber), CallError> {
+        let number = || SessionNumber(self.session.number.get());
+        let lost = || CallError::NotSent("all connections have closed since the last call".to_owned());
+        let is_same = |session: Option<SessionNumber>| session.is_none_or(|session| session == number());
+        let sender = match self.take_idle() {
+            Some(sender) if is_same(session) => sender,
+            None if is_same(session) && (session.is_none() || self.session.open.get() > 0) => {
+                let sender = self.open().await?;
+                // The tasks of closed connections run before this one goes on.
+                yield_now().await;
+                sender
+            }
+            _ => return Err(lost()),
+        };
+        if !is_same(session) {
+            return Err(lost());
+        }
+        let used = number();
+        let response = self.call_on(sender, request, call_timeout).await?;
+        Ok((response, used))
+    }
+
     /// Sends a request and reads the complete response. The timeout starts when a connection is open.
     ///
     /// # Errors
@@ -118,12 +201,19 @@
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        let mut sender = match self.take_idle() {
+        let sender = match self.take_idle() {
             Some(sender) => sender,
-            None => connect(self.address, self.connect_timeout, || ())
-                .await
-                .map_err(|e| classify_connect_error(&e))?,
+            None => self.open().await?,
         };
+        self.call_on(sender, request, call_timeout).await
+    }
+
+    async fn call_on(
+        &self,
+        mut sender: SendRequest<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
+        call_timeout: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
         // A connection without a complete response can't be reused; it closes when its sender is dropped.
         let response = with_timeout(call_timeout, async {
             let sent = sender.try_send_request(request).await;
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -2,7 +2,7 @@
 //! sends lease commands to upstreams.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::connect::Endpoint;
+use super::connect::{Endpoint, SessionNumber};
 use super::election::run_election;
 use super::orders::{GRANT_CALL_TIMEOUT, check_cold, grant, release, request_load};
 use super::peers::Message;
@@ -89,6 +89,8 @@
     /// Addresses of upstream incarnations, including those whose entries are gone from the store.
     pub(super) addresses: RefCell<BTreeMap<Holder, SocketAddr>>,
     pub(super) endpoints: RefCell<BTreeMap<Holder, Rc<Endpoint>>>,
+    /// Session in which each lease, named by its holder and fence, was last accepted.
+    pub(super) sessions: RefCell<BTreeMap<(Holder, u64), SessionNumber>>,
     /// Generation of the membership in the election group, as of the last join.
     pub(super) generation: Cell<u64>,
     /// Newest epoch of any grantor known to this host.
@@ -261,6 +263,17 @@
             addresses.insert(holder.clone(), later.announcement.address);
         }
     }
+    let count: usize = active
+        .pools
+        .values()
+        .map(|pool| pool.grantor.table().assignments.len())
+        .sum();
+    let mut sessions = gateway.grants.sessions.borrow_mut();
+    if sessions.len() > count * 2 {
+        let assignments = active.pools.values().flat_map(|pool| &pool.grantor.table().assignments);
+        let fences: BTreeSet<u64> = assignments.map(|assignment| assignment.fence).collect();
+        sessions.retain(|(_, fence), _| fences.contains(fence));
+    }
     gateway.grants.endpoints.borrow_mut().retain(|holder, endpoint| {
         addresses
             .get(holder)
@@ -412,6 +425,7 @@
             fence,
             handover,
             check_health,
+            is_renewal,
         } => {
             let lease = LEASE_DURATION.min(gateway.bounds.grant);
             let command = LeaseCommand::Grant {
@@ -434,7 +448,7 @@
                     }
                 }
                 let sent = Instant::now();
-                let outcome = grant(&gateway, &holder, &command).await;
+                let outcome = grant(&gateway, &holder, &command, is_renewal).await;
                 if outcome != GrantOutcome::Taken {
                     warn!(gateway.log, "grant failed"; "pool" => %pool, "upstream" => %holder.upstream, "keys" => %range,
                         "fence" => fence, "outcome" => ?outcome);
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -88,17 +88,30 @@
     gateway.fleet.borrow_mut().suspect_cold(Instant::now(), upstream, time);
 }
 
-pub(super) async fn grant(gateway: &Gateway, holder: &Holder, command: &LeaseCommand) -> GrantOutcome {
+/// Sends a grant. A renewal goes only to the process that accepted the lease.
+pub(super) async fn grant(
+    gateway: &Gateway,
+    holder: &Holder,
+    command: &LeaseCommand,
+    is_renewal: bool,
+) -> GrantOutcome {
     let Some(endpoint) = find_endpoint(gateway, holder) else {
         return GrantOutcome::NotSent;
     };
     gateway.metrics.count_lease_call("grant");
-    match endpoint
-        .call(encode_command(command, &holder.upstream), GRANT_TIMEOUT)
-        .await
-    {
-        Ok(response) => match response.status() {
-            StatusCode::OK => GrantOutcome::Taken,
+    let lease = (holder.clone(), command.fence());
+    let session = gateway.grants.sessions.borrow().get(&lease).copied();
+    if is_renewal && session.is_none() {
+        return GrantOutcome::NotSent;
+    }
+    let request = encode_command(command, &holder.upstream);
+    let session = session.filter(|_| is_renewal);
+    match endpoint.call_in_session(session, request, GRANT_TIMEOUT).await {
+        Ok((response, session)) => match response.status() {
+            StatusCode::OK => {
+                gateway.grants.sessions.borrow_mut().insert(lease, session);
+                GrantOutcome::Taken
+            }
             StatusCode::CONFLICT => GrantOutcome::Fenced,
             StatusCode::MISDIRECTED_REQUEST => GrantOutcome::Broken,
             _ => GrantOutcome::Unknown,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -189,6 +189,7 @@
         peers,
         zone: gateway.settings.zone.clone(),
         millicores: gateway.settings.millicores(),
+        incarnation: gateway.incarnation_id().incarnation,
     };
     let text = serde_json::to_vec(&presence).expect("a host entry encodes as JSON");
     let key = format!("{HOST_PREFIX}{}", gateway.settings.host);
@@ -196,7 +197,11 @@
         match gateway.store.append(HOST_TOPIC, None, &[(&key, &text)]).await {
             Ok(offset) => {
                 info!(gateway.log, "host announced"; "offset" => offset.0);
-                return;
+                gateway.entry_lost.notified().await;
+                if gateway.is_stopping.get() {
+                    return;
+                }
+                warn!(gateway.log, "entry of this host is gone; announcing it again");
             }
             Err(error) => {
                 warn!(gateway.log, "host not announced"; "error" => %error);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -29,6 +29,9 @@
 /// Range that `Retry-After` is drawn from while no upstream can take a request: about the duration of a
 /// few requests.
 const RETRY_AFTER_MS: (u64, u64) = (40, 160);
+/// Time after the start of the process in which other hosts tell it of requests that crash upstreams. Until then it sends
+/// no request again that may have run, as it can't tell whether the request caused the failure.
+const SUSPECTS_DELAY: Duration = Duration::from_secs(3);
 /// Range that `Retry-After` is drawn from while the host has no configuration or list of upstreams.
 const NOT_READY_RETRY_AFTER_MS: (u64, u64) = (100, 400);
 
@@ -332,7 +335,8 @@
     }
     let is_allowed = ctx.verdict == Verdict::NotRun || ctx.route.idempotency.is_retryable();
     let sent = u32::try_from(ctx.tried.len()).unwrap_or(u32::MAX);
-    let is_suspect = !gateway.suspects.borrow().may_retry(ctx.fingerprint);
+    let is_judged = ctx.verdict == Verdict::NotRun || now >= gateway.started + SUSPECTS_DELAY;
+    let is_suspect = !is_judged || !gateway.suspects.borrow().may_retry(ctx.fingerprint);
     is_allowed
         && !is_suspect
         && sent < ctx.route.attempts
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use super::grants::Grants;
 use super::peers::Outbox;
 use super::stop::ShutdownSchedule;
-use crate::budget::{ColdLimiter, ColdQuota, RetryBudget, RetryLimits};
+use crate::budget::{ColdLimiter, ColdQuota, Division, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
 use crate::fleet::{Fleet, Runs, Suspects, Upstream};
@@ -45,6 +45,9 @@
 /// Share of a route's latency objective that is assumed as its typical latency before the first response.
 const INITIAL_TYPICAL_SHARE: f64 = 0.3;
 
+/// Time for which a host whose entry was removed counts where limits are divided. A running host announces itself again
+/// within a second or two.
+const DEPARTED_TIME: Duration = Duration::from_secs(5);
 /// Share of the descriptors for connections of callers, and the same share for connections to upstreams. The rest is for
 /// listeners, the store, status checks and files.
 const CONNECTIONS_SHARE: f64 = 0.45;
@@ -56,6 +59,9 @@
     pub(crate) zone: Zone,
     #[serde(default)]
     pub(crate) millicores: u32,
+    /// Start of the process in Unix milliseconds, so that a restart on the same host is noticed.
+    #[serde(default)]
+    pub(crate) incarnation: u64,
 }
 
 /// Statistics of the requests of one route at this host.
@@ -84,6 +90,11 @@
     /// The list of upstreams has been read at least once.
     pub(crate) fleet_known: Cell<bool>,
     pub(crate) hosts: RefCell<BTreeMap<HostName, Presence>>,
+    /// Hosts whose entries were removed a short time ago. They still count where limits are divided among hosts, as a
+    /// removal may be late and its host running.
+    departed: RefCell<BTreeMap<HostName, Instant>>,
+    /// Woken when the entry of this host is removed from the store.
+    pub(crate) entry_lost: Notify,
     pub(crate) tables: RefCell<BTreeMap<PoolName, Rc<KeyTable>>>,
     /// When each assignment without a ready owner was first seen, by pool and fence.
     moving_since: RefCell<BTreeMap<(PoolName, u64), Instant>>,
@@ -164,6 +175,8 @@
             fleet: RefCell::default(),
             fleet_known: Cell::new(false),
             hosts: RefCell::default(),
+            departed: RefCell::default(),
+            entry_lost: Notify::new(),
             tables: RefCell::default(),
             moving_since: RefCell::default(),
             tables_changed: Notify::new(),
@@ -282,7 +295,33 @@
 
     /// Returns the number of hosts that share the limits, including this one.
     pub(crate) fn host_count(&self) -> usize {
-        self.hosts.borrow().len().max(1)
+        (self.hosts.borrow().len() + self.departed.borrow().len()).max(1)
+    }
+
+    /// Records that the entry of a host was removed. The host of this process announces itself again.
+    pub(crate) fn record_departure(&self, now: Instant, host: HostName) {
+        if host == self.settings.host {
+            self.entry_lost.notify_one();
+        }
+        self.departed.borrow_mut().insert(host, now);
+        self.reset_cold_quotas();
+    }
+
+    /// Records that a host has an entry.
+    pub(crate) fn record_arrival(&self, host: &HostName) {
+        self.departed.borrow_mut().remove(host);
+        self.reset_cold_quotas();
+    }
+
+    /// Forgets hosts whose entries have been gone for long enough.
+    pub(crate) fn sweep_departed(&self, now: Instant) {
+        let count = self.departed.borrow().len();
+        self.departed
+            .borrow_mut()
+            .retain(|_, since| now < *since + DEPARTED_TIME);
+        if self.departed.borrow().len() < count {
+            self.reset_cold_quotas();
+        }
     }
 
     pub(crate) fn retry_limits(&self) -> RetryLimits {
@@ -322,7 +361,14 @@
     /// Reports whether an upstream names no limit, or this host's share of it has room.
     pub(crate) fn admits_limited(&self, now: Instant, upstream: &Upstream) -> bool {
         let limiter = upstream.limiter.as_ref();
-        limiter.is_none_or(|limiter| limiter.admits(now, self.host_count()))
+        limiter.is_none_or(|limiter| limiter.admits(now, self.division(&upstream.announcement.upstream)))
+    }
+
+    /// Returns how the limit of an upstream is divided among the hosts.
+    pub(crate) fn division(&self, upstream: &UpstreamName) -> Division {
+        let (hosts, departed) = (self.hosts.borrow(), self.departed.borrow());
+        let hosts = hosts.keys().chain(departed.keys());
+        Division::of_host(unix_time(), hosts, &self.settings.host, upstream)
     }
 
     /// Returns the number of connections that this host may open to one upstream for requests.
@@ -370,7 +416,8 @@
             return quota;
         }
         let bound = pool.cold_rate * self.bounds.cold_factor + self.bounds.cold_extra;
-        let hosts: Vec<HostName> = self.hosts.borrow().keys().cloned().collect();
+        let departed = self.departed.borrow();
+        let hosts: Vec<HostName> = self.hosts.borrow().keys().chain(departed.keys()).cloned().collect();
         let quota = ColdQuota::of_host(bound, &hosts, &self.settings.host, upstream);
         self.cold_quotas.borrow_mut().insert(upstream.clone(), quota);
         quota
@@ -391,7 +438,7 @@
         entry.load.in_flight += 1;
         entry.health.start();
         if let Some(limiter) = &mut entry.limiter {
-            limiter.record_sent(now, self.host_count());
+            limiter.record_sent(now, self.division(upstream));
         }
         if entry.is_cold(now) {
             let mut limiters = self.cold_limiters.borrow_mut();
--- a/src/gateway/tests/grants.rs
+++ b/src/gateway/tests/grants.rs
@@ -98,6 +98,7 @@
         fence: 1,
         handover: None,
         check_health: true,
+        is_renewal: false,
     };
     start_action(&gateway, EPOCH, &pool, grant, &saves);
     let start = Instant::now();
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -13,8 +13,8 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use slog::{Discard, Logger, o};
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpSocket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -22,8 +22,10 @@
 use super::connect::{CallError, Endpoint};
 use super::directives::apply_directives;
 use super::state::Gateway;
-use super::watch::apply_catalog;
+use super::watch::{apply_catalog, apply_record};
 use crate::catalog::{Announcement, Phase, Pool};
+use crate::platform::Record;
+use crate::relay::Topic;
 use crate::settings::parse_settings;
 use crate::types::{Offset, UpstreamName};
 
@@ -196,3 +198,76 @@
     assert!(matches!(called, Err(CallError::TimedOut(_))), "{called:?}");
     assert_eq!(read.expect_err("connection reset").kind(), ErrorKind::ConnectionReset);
 }
+
+/// Serves one call on each of two connections, and resets the first connection if `restarts`.
+async fn serve_two_calls(listener: TcpListener, restarts: bool) {
+    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let mut kept = Vec::new();
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut buffer = [0; 1_024];
+        while stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {
+            if stream.write_all(response).await.is_err() || (restarts && kept.is_empty()) {
+                break;
+            }
+        }
+        kept.push(());
+    }
+}
+
+/// Guards against a renewal that reaches another process than the one that accepted the lease: a process that ends
+/// closes its connections, and the next one may listen at its address at once.
+#[tokio::test]
+async fn call_to_the_same_process_fails_once_its_connections_have_closed() {
+    for restarts in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let endpoint = Endpoint::new(listener.local_addr().expect("valid address"), Duration::from_secs(5));
+        let request = || Request::post("/grant").body(Full::default()).expect("valid request");
+        let calls = async {
+            let timeout = Duration::from_secs(5);
+            let first = endpoint.call_in_session(None, request(), timeout).await;
+            let (_, session) = first.expect("a response");
+            // The connection's task learns of the end within this time.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            if restarts {
+                // Another lease is granted to the new process first.
+                let other = endpoint.call_in_session(None, request(), timeout).await;
+                other.expect("a response");
+            }
+            endpoint.call_in_session(Some(session), request(), timeout).await
+        };
+        let local = LocalSet::new();
+        let result = local
+            .run_until(async {
+                tokio::task::spawn_local(serve_two_calls(listener, restarts));
+                calls.await
+            })
+            .await;
+        assert_eq!(matches!(result, Err(CallError::NotSent(_))), restarts, "{result:?}");
+    }
+}
+
+/// Guards against limits that are divided among too few hosts because the removal of an entry took effect late, when its
+/// host was running again: the host must announce itself, and count until it has.
+#[tokio::test]
+async fn host_whose_entry_is_removed_still_counts_and_announces_itself() {
+    let gateway = gateway();
+    let record = |host: &str, value: Option<&str>| Record {
+        offset: Offset(1),
+        key: format!("host/{host}"),
+        value: value.map(|text| text.to_owned().into()),
+    };
+    let entry = r#"{"peers":"127.0.0.1:9","zone":"z"}"#;
+    for host in ["a", "b", "c"] {
+        apply_record(&gateway, Topic::Hosts, &record(host, Some(entry)));
+    }
+    for host in ["a", "b"] {
+        apply_record(&gateway, Topic::Hosts, &record(host, None));
+    }
+    assert_eq!(gateway.host_count(), 3);
+    let lost = tokio::time::timeout(Duration::from_secs(1), gateway.entry_lost.notified()).await;
+    assert!(lost.is_ok(), "the host must announce itself again");
+    apply_record(&gateway, Topic::Hosts, &record("a", Some(entry)));
+    assert_eq!(gateway.host_count(), 3);
+    gateway.sweep_departed(Instant::now() + Duration::from_mins(1));
+    assert_eq!(gateway.host_count(), 2);
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -61,8 +61,15 @@
         }
         Topic::Hosts => {
             let listed = |host: &str| keys.contains(format!("{HOST_PREFIX}{host}").as_str());
-            gateway.hosts.borrow_mut().retain(|host, _| listed(host.as_str()));
-            gateway.reset_cold_quotas();
+            let mut gone = Vec::new();
+            gateway.hosts.borrow_mut().retain(|host, _| {
+                let is_listed = listed(host.as_str());
+                gone.extend((!is_listed).then(|| host.clone()));
+                is_listed
+            });
+            for host in gone {
+                gateway.record_departure(Instant::now(), host);
+            }
         }
     }
 }
@@ -178,16 +185,22 @@
         warn!(gateway.log, "host entry ignored: invalid host name in its key"; "key" => &record.key);
         return;
     };
-    gateway.reset_cold_quotas();
     let mut hosts = gateway.hosts.borrow_mut();
     match &record.value {
         None => {
-            hosts.remove(&host);
+            if hosts.remove(&host).is_some() || host == gateway.settings.host {
+                gateway.record_departure(Instant::now(), host);
+            }
         }
         Some(text) => match serde_json::from_slice::<Presence>(text) {
             Ok(presence) => {
-                if hosts.insert(host, presence.clone()).as_ref() != Some(&presence) {
+                gateway.record_arrival(&host);
+                let known = hosts.insert(host.clone(), presence.clone());
+                if known.as_ref() != Some(&presence) {
                     // A new process doesn't know the suspects yet.
+                    if host != gateway.settings.host {
+                        gateway.suspects.borrow_mut().retire_process(&host);
+                    }
                     resend_reports(gateway, hosts.keys());
                 }
             }
@@ -259,5 +272,6 @@
         gateway.connections.sweep(now);
         gateway.runs.borrow_mut().sweep(now);
         gateway.suspects.borrow_mut().sweep(now);
+        gateway.sweep_departed(now);
     }
 }
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -53,6 +53,9 @@
         /// Whether to find out first if the upstream is cold: since the last accepted grant, its connection broke or
         /// couldn't be opened, so its process may have restarted.
         check_health: bool,
+        /// The upstream has accepted a grant under this fence. The command may only go to the same process, over a
+        /// connection that has stayed open since then.
+        is_renewal: bool,
     },
     Release {
         holder: Holder,
@@ -91,7 +94,8 @@
     Fenced,
     /// No usable response arrived, but the connection didn't break.
     Unknown,
-    /// No connection could be opened: nothing was sent, and the upstream may have stopped.
+    /// Nothing was sent, because no connection could be opened or none had stayed open for a renewal. The upstream may
+    /// have stopped.
     NotSent,
     /// The connection broke: the upstream may have restarted.
     Broken,
@@ -133,8 +137,9 @@
     needs_save: bool,
     /// Last time at which this grantor or an earlier one may have sent a grant to each upstream.
     last_sent: BTreeMap<Holder, Instant>,
-    /// Number of grant calls in flight to each upstream: a busy host may hand their bytes to the network late.
-    in_flight: BTreeMap<Holder, u32>,
+    /// Fence and keys of the grant calls in flight to each upstream: a busy host may hand their bytes to the network
+    /// late.
+    in_flight: BTreeMap<Holder, Vec<(u64, KeyRange)>>,
     /// Progress of each assignment, by its fence.
     progress: BTreeMap<u64, Progress>,
     /// Upstreams that don't answer grants.
@@ -167,6 +172,12 @@
         table.epoch = epoch;
         table.revision = 0;
         table.witnesses = BTreeSet::new();
+        // This host has no connection to an owner that shows that its process still is the one that earlier grants
+        // were sent to.
+        let fences: Vec<u64> = table.assignments.iter().map(|assignment| assignment.fence).collect();
+        for fence in fences {
+            table.replace_fence(fence);
+        }
         // Grants of earlier grantors may be sent until their calls time out.
         let stopped_by = predecessors.stopped_by().unwrap_or(now) + timing.call_timeout;
         let holders = table
@@ -297,13 +308,18 @@
             });
             let is_owner = assignment.owner.as_ref() == Some(holder);
             // A refused connection proves nothing: a running upstream with too many connections refuses new ones.
-            let has_expired = expires_at.is_none_or(|end| end <= now) && !self.in_flight.contains_key(holder);
-            if is_owner || has_expired || progress.released.contains(holder) {
+            let calls = self.in_flight.get(holder);
+            let has_expired = expires_at.is_none_or(|end| end <= now) && calls.is_none();
+            // A grant that is still under way may reach a new process at the same address, which knows nothing of the
+            // release.
+            let has_calls = calls.is_some_and(|calls| calls.iter().any(|(_, keys)| keys.overlap(range).is_some()));
+            let is_settled = !has_calls && last_sent.is_none_or(|sent_at| sent_at <= now);
+            if is_owner || has_expired || (is_settled && progress.released.contains(holder)) {
                 continue;
             }
             may_grant = false;
             let is_due = match progress.releasing.get(holder) {
-                None => true,
+                None => !progress.released.contains(holder),
                 Some(retry_at) => retry_at.is_some_and(|retry_at| retry_at <= now),
             };
             if is_due && is_known(holder) {
@@ -322,13 +338,14 @@
         let is_due = renew_at.is_none_or(|at| at <= now) && progress.retry_at.is_none_or(|at| at <= now);
         if is_due && !progress.is_granting {
             progress.is_granting = true;
-            *self.in_flight.entry(owner.clone()).or_default() += 1;
+            self.in_flight.entry(owner.clone()).or_default().push((fence, range));
             actions.push(Action::Grant {
                 holder: owner.clone(),
                 range,
                 fence,
                 handover: progress.handover.clone().filter(|_| !assignment.ready),
                 check_health: progress.connection_broken,
+                is_renewal: progress.granted_at.is_some(),
             });
         }
     }
@@ -384,9 +401,11 @@
             let last_sent = self.last_sent.entry(holder.clone()).or_insert(now);
             *last_sent = now.max(*last_sent);
         }
-        if let Some(count) = self.in_flight.get_mut(holder) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(calls) = self.in_flight.get_mut(holder) {
+            if let Some(index) = calls.iter().position(|(sent, _)| *sent == fence) {
+                calls.remove(index);
+            }
+            if calls.is_empty() {
                 self.in_flight.remove(holder);
             }
         }
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -1052,6 +1052,19 @@
     assert!(matches!(actions.as_slice(), [Action::Grant { .. }]), "{actions:?}");
 }
 
+/// Guards against grants of a new grantor under the fences of the one before: it can't tell whether an owner has
+/// restarted since its last grant.
+#[test]
+fn new_grantor_replaces_fences() {
+    let now = Instant::now();
+    let mut table = table();
+    table.assign(KeyRange::ALL, Some(&holder("a")));
+    let before = table.last_fence;
+    let grantor = Grantor::take_over(now, &host("host-a"), 1, table, TIMING);
+    let fences = grantor.table().assignments.iter().map(|assignment| assignment.fence);
+    assert!(fences.into_iter().all(|fence| fence > before));
+}
+
 /// Guards against a grant under the old fence after a broken connection: the upstream may have restarted.
 #[test]
 fn broken_connection_replaces_fence() {
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -27,6 +27,14 @@
     Release { range: KeyRange, fence: u64 },
 }
 
+impl LeaseCommand {
+    pub(crate) fn fence(&self) -> u64 {
+        match self {
+            Self::Grant { fence, .. } | Self::Release { fence, .. } => *fence,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct WireCommand<'a> {
     from: u16,
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -163,6 +163,8 @@
     Refuse(String),
     /// The process of the server was killed; logged by whoever killed it.
     End,
+    /// The process of the server is resumed after a suspension; logged by whoever resumes it.
+    Resume,
 }
 
 /// A line of an event log.
--- a/standins/src/soak/judge.rs
+++ b/standins/src/soak/judge.rs
@@ -9,6 +9,10 @@
 /// allowed only if neither server runs a request for the key meanwhile.
 const OVERLAP_MAX_MS: u64 = 500;
 
+/// Time after a server is resumed in which it takes the grants that arrived while it was suspended, in milliseconds.
+/// The rule on owners doesn't count grants that are taken late.
+const RESUME_SLACK_MS: u64 = 300;
+
 /// A request of a caller and the response to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Outcome {
@@ -113,12 +117,52 @@
     violations
 }
 
+/// Returns the grants that a server accepted under a fence that its former incarnation had for the same keys: the fence
+/// then doesn't tell the work of the two apart.
+pub(super) fn check_fences(records: &[EventRecord]) -> Vec<String> {
+    /// First key, last key and fence.
+    type Grant = (u16, u16, u64);
+    let mut current: BTreeMap<&str, Vec<Grant>> = BTreeMap::new();
+    let mut former: BTreeMap<&str, Vec<Grant>> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for record in records {
+        let server = record.server.as_str();
+        match record.event {
+            ServerEvent::Grant(first, last, fence, _) => {
+                let is_reused = |grant: &&Grant| grant.0 <= last && first <= grant.1 && grant.2 >= fence;
+                if let Some((a, b, used)) = former.get(server).and_then(|grants| grants.iter().find(is_reused)) {
+                    violations.push(format!(
+                        "{server} took keys {first}-{last} under fence {fence} at {} (Unix ms); its former incarnation \
+                         took keys {a}-{b} under fence {used}",
+                        record.at
+                    ));
+                }
+                current.entry(server).or_default().push((first, last, fence));
+            }
+            ServerEvent::End => {
+                let ended = current.remove(server).unwrap_or_default();
+                former.entry(server).or_default().extend(ended);
+            }
+            ServerEvent::Release(..) | ServerEvent::Run(..) | ServerEvent::Refuse(_) | ServerEvent::Resume => {}
+        }
+    }
+    violations
+}
+
 fn collect_leases(records: &[EventRecord]) -> Vec<Lease<'_>> {
     let mut ended: Vec<Lease<'_>> = Vec::new();
     let mut active: Vec<Lease<'_>> = Vec::new();
+    let mut resumed: BTreeMap<&str, u64> = BTreeMap::new();
     for record in records {
+        if record.event == ServerEvent::Resume {
+            resumed.insert(&record.server, record.at);
+        }
+        let is_late = resumed
+            .get(record.server.as_str())
+            .is_some_and(|at| record.at < at + RESUME_SLACK_MS);
         let is_unexpired = |lease: &Lease<'_>| lease.server == record.server && lease.until > record.at;
         match record.event {
+            ServerEvent::Grant(..) if is_late => {}
             ServerEvent::Grant(first, last, fence, until) => {
                 // A renewal extends the existing lease.
                 let is_renewed = |lease: &&mut Lease<'_>| {
@@ -167,7 +211,7 @@
                     lease.until = record.at;
                 }
             }
-            ServerEvent::Run(..) | ServerEvent::Refuse(_) => {}
+            ServerEvent::Run(..) | ServerEvent::Refuse(_) | ServerEvent::Resume => {}
         }
         let (expired, remaining) = std::mem::take(&mut active)
             .into_iter()
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -28,7 +28,7 @@
 use crate::server::{EventRecord, ServerEvent, append_event, append_keyed_record};
 use crash::{CRASH_ID, check_crashes};
 use directives::check_directives;
-use judge::{check_leases, check_requests};
+use judge::{check_fences, check_leases, check_requests};
 use load::{Outcomes, call, connect, run_caller};
 use proxy::{LinkFault, Proxy};
 
@@ -63,6 +63,8 @@
     pub served: usize,
     /// Faults, recoveries and configuration changes, each prefixed with the milliseconds since the start.
     pub actions: Vec<String>,
+    /// Longest time for which the soak itself was held up, which shows a machine without processor time to spare.
+    pub held_up: Duration,
 }
 
 /// A child process and the address on which it serves; it is killed on drop.
@@ -148,6 +150,8 @@
         .wait_until_served(STARTUP_TIMEOUT)
         .await
         .map_err(|e| format!("after the start: {e}"))?;
+    let (held_up_tx, held_up) = watch::channel(Duration::ZERO);
+    let hold_watch = tokio::spawn(watch_holds(held_up_tx));
     let outcomes = Outcomes::default();
     let (stop_tx, stop_rx) = watch::channel(false);
     let caller_tasks: Vec<_> = (0..CALLER_COUNT)
@@ -186,13 +190,31 @@
     let mut report = std::mem::take(&mut harness.report);
     report.violations.extend(check_requests(&outcomes, &records));
     report.violations.extend(check_leases(&records));
+    report.violations.extend(check_fences(&records));
     report.violations.extend(check_directives(&records, directive_phase));
     report.violations.extend(check_crashes(&events));
+    hold_watch.abort();
+    report.held_up = *held_up.borrow();
     report.requests = outcomes.len();
     report.served = outcomes.iter().filter(|o| matches!(o.response, Some((200, _)))).count();
     Ok(report)
 }
 
+/// Measures by how much a short sleep is exceeded at most.
+async fn watch_holds(longest: watch::Sender<Duration>) {
+    const PERIOD: Duration = Duration::from_millis(20);
+    loop {
+        let start = Instant::now();
+        sleep(PERIOD).await;
+        let late = start.elapsed().saturating_sub(PERIOD);
+        longest.send_if_modified(|longest| {
+            let is_longer = late > *longest;
+            *longest = late.max(*longest);
+            is_longer
+        });
+    }
+}
+
 /// Reads the records of an event log in the order of their times.
 fn read_events(path: &Path) -> Result<Vec<EventRecord>, String> {
     let text = fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -429,9 +451,11 @@
             Recovery::ClearStoreFault => post(self.store.address, "/standin/fault", &json!({})).await,
             Recovery::ResumeGateway(index) => return self.signal_gateway(index, "CONT"),
             Recovery::ResumeServer(index) => {
-                return self.servers[index]
-                    .as_ref()
-                    .map_or(Ok(()), |server| server.signal("CONT"));
+                let Some(server) = &self.servers[index] else {
+                    return Ok(());
+                };
+                append_event(&self.event_log, &server_name(index), ServerEvent::Resume).map_err(|e| e.to_string())?;
+                return server.signal("CONT");
             }
             Recovery::RestartGateway(index) => return self.start_gateway(index),
             Recovery::RestartServer(index) => return self.start_server(index),
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -1,6 +1,6 @@
 use super::crash::check_crashes;
 use super::directives::{DirectivePhase, check_directives};
-use super::judge::{Outcome, check_leases, check_requests};
+use super::judge::{Outcome, check_fences, check_leases, check_requests};
 use crate::server::{EventRecord, ServerEvent};
 
 fn record(at: u64, server: &str, event: ServerEvent) -> EventRecord {
@@ -143,3 +143,26 @@
     let paused = [paused.to_vec(), vec![refuse(900, "c3-2")]].concat();
     assert_eq!(check_directives(&paused, phase).len(), 1);
 }
+
+/// Guards against a check that reports grants that a suspended server takes late, which the rule on owners doesn't
+/// count, or that doesn't report the leases that the server takes afterwards.
+#[test]
+fn check_leases_passes_over_grants_taken_at_the_end_of_a_suspension() {
+    let grant = |fence, until| ServerEvent::Grant(0, 99, fence, until);
+    let resumed = record(7_000, "a", ServerEvent::Resume);
+    let new_owner = record(3_000, "b", grant(6, 9_500));
+    let late = record(7_100, "a", grant(5, 9_600));
+    assert!(check_leases(&[new_owner.clone(), resumed.clone(), late.clone()]).is_empty());
+    assert_eq!(check_leases(&[new_owner.clone(), late]).len(), 1);
+    let later = record(7_400, "a", grant(5, 9_900));
+    assert_eq!(check_leases(&[new_owner, resumed, later]).len(), 1);
+}
+
+/// Guards against a check that misses a server that takes keys under a fence of its former incarnation.
+#[test]
+fn check_fences_reports_a_fence_of_a_former_incarnation() {
+    let grant = |at, fence| record(at, "a", ServerEvent::Grant(0, 99, fence, at + 2_500));
+    let end = record(500, "a", ServerEvent::End);
+    assert_eq!(check_fences(&[grant(0, 5), end.clone(), grant(900, 5)]).len(), 1);
+    assert!(check_fences(&[grant(0, 5), grant(400, 5), end, grant(900, 6)]).is_empty());
+}
