Keep one unknown entry of a configuration from stopping the rest; serve uploads

Change: routes and services are decoded one by one; an entry that can't be decoded is left out and logged with its name. Requests of an unknown kind run at most once. Uploads run at most once and prefer the zone of their host, as downloads do.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -32,11 +32,25 @@
     Download,
     /// Must run at most once.
     NonIdempotent,
+    /// As `NonIdempotent`, with large requests.
+    Upload,
 }
 
 impl Idempotency {
+    /// Reports whether a request that may have run may be sent again.
     pub(crate) fn is_retryable(self) -> bool {
-        self != Self::NonIdempotent
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::NonIdempotent | Self::Upload => false,
+        }
+    }
+
+    /// Reports whether requests or responses are large, so that another zone costs many bytes.
+    pub(crate) fn is_large(self) -> bool {
+        match self {
+            Self::Download | Self::Upload => true,
+            Self::Idempotent | Self::NonIdempotent => false,
+        }
     }
 }
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -186,7 +186,8 @@
     let text = read_file(file)?;
     let catalog = decode_catalog(Offset(0), text.as_bytes());
     let catalog = catalog.map_err(|e| CommandError::InvalidInput(format!("{}: {e}", file.display())))?;
-    let faults = catalog.validate();
+    let (catalog, mut faults) = catalog;
+    faults.extend(catalog.validate());
     if !faults.is_empty() {
         return Err(CommandError::InvalidInput(format!(
             "{}: {}",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,6 @@
 use super::peers::Message;
 use super::request::RequestContext;
 use super::state::Gateway;
-use crate::catalog::Idempotency;
 use crate::fleet::{Outcome, RunEnd};
 use crate::memory::{Holder, Reservation};
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE, read_load};
@@ -88,7 +87,7 @@
 ) -> Option<(Sender, Result<Response<Incoming>, Failure>)> {
     let upstream = &guard.upstream.clone();
     let address = gateway.fleet.borrow().get(upstream).map(|u| u.announcement.address)?;
-    let is_non_idempotent = ctx.route.idempotency == Idempotency::NonIdempotent;
+    let is_non_idempotent = !ctx.route.idempotency.is_retryable();
     if let Some(mut sender) = gateway.connections.take_idle(now, upstream, address, is_non_idempotent)
         && let Some(result) = send(gateway, ctx, guard, &mut sender).await
     {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,7 +7,7 @@
 use super::answer::Refusal;
 use super::request::{RequestContext, build_refusal, draw_retry_after};
 use super::state::Gateway;
-use crate::catalog::{Idempotency, Pool};
+use crate::catalog::Pool;
 use crate::fleet::{Locality, PickCriteria, Upstream, expected_latency, pick_upstream};
 use crate::types::{Reason, UpstreamName, Verdict};
 
@@ -42,14 +42,15 @@
 fn choose_any(gateway: &Gateway, ctx: &RequestContext, pool: &Pool) -> Result<UpstreamName, Refusal> {
     let now = Instant::now();
     let fleet = gateway.fleet.borrow();
-    let is_non_idempotent = ctx.route.idempotency == Idempotency::NonIdempotent;
+    let is_non_idempotent = !ctx.route.idempotency.is_retryable();
     let connected = gateway.connections.connected_upstreams(now, is_non_idempotent);
     let criteria = PickCriteria {
         pool: &ctx.pool,
         zone: &gateway.settings.zone,
-        locality: match ctx.route.idempotency {
-            Idempotency::Download => Locality::StronglyPrefer,
-            Idempotency::Idempotent | Idempotency::NonIdempotent => Locality::Prefer,
+        locality: if ctx.route.idempotency.is_large() {
+            Locality::StronglyPrefer
+        } else {
+            Locality::Prefer
         },
         tried: &ctx.tried,
         connected: &connected,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use super::units::{read_optional_time, read_time, read_version};
 use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target};
@@ -18,8 +20,8 @@
 struct WireConfiguration {
     #[serde(deserialize_with = "read_version")]
     version: u64,
-    routes: Vec<WireRoute>,
-    services: Vec<WireService>,
+    routes: Vec<Value>,
+    services: Vec<Value>,
     limits: WireLimits,
 }
 
@@ -47,6 +49,10 @@
     Safe,
     Unsafe,
     Download,
+    Upload,
+    /// A kind that this build doesn't know. Its requests run at most once, which is right for each kind.
+    #[serde(other)]
+    Unknown,
 }
 
 #[derive(Deserialize)]
@@ -75,22 +81,32 @@
     idle_timeout: Duration,
 }
 
-/// Decodes a configuration.
+/// Decodes a configuration. An entry that can't be decoded is left out and described in a list of faults, so that it
+/// doesn't keep the others from coming into force.
 ///
 /// # Errors
 ///
-/// Returns the parse error; the configuration in force then stays in use.
-pub(crate) fn decode_catalog(offset: Offset, text: &[u8]) -> Result<Catalog, serde_json::Error> {
+/// Returns the parse error if nothing can be decoded; the configuration in force then stays in use.
+pub(crate) fn decode_catalog(offset: Offset, text: &[u8]) -> Result<(Catalog, Vec<String>), serde_json::Error> {
     let wire = serde_json::from_slice::<WireConfiguration>(text)?;
+    let mut faults = Vec::new();
     let mut routes: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
-    for route in wire.routes.into_iter().map(convert_route) {
+    for route in decode_entries::<WireRoute>("route", wire.routes, &mut faults) {
+        if matches!(route.kind, WireKind::Unknown) {
+            faults.push(format!(
+                "route {}: unknown kind; its requests run at most once",
+                route.name
+            ));
+        }
+        let route = convert_route(route);
         routes
             .entry(route.host.clone())
             .or_default()
             .insert(route.prefix.clone(), route);
     }
-    let pools = wire.services.into_iter().map(convert_pool);
-    Ok(Catalog {
+    let pools = decode_entries::<WireService>("service", wire.services, &mut faults);
+    let pools = pools.into_iter().map(convert_pool);
+    let catalog = Catalog {
         version: CatalogVersion(wire.version),
         offset,
         routes,
@@ -100,7 +116,23 @@
             body_bytes: wire.limits.max_body_bytes,
             idle_time: wire.limits.idle_timeout,
         },
-    })
+    };
+    Ok((catalog, faults))
+}
+
+/// Decodes the entries of a list one by one and adds a fault for each that can't be decoded.
+fn decode_entries<T: DeserializeOwned>(what: &str, entries: Vec<Value>, faults: &mut Vec<String>) -> Vec<T> {
+    let decode = |(number, entry): (usize, Value)| {
+        let name = entry["name"].as_str().map(ToOwned::to_owned);
+        let decoded = T::deserialize(entry);
+        decoded
+            .map_err(|error| {
+                let name = name.unwrap_or_else(|| format!("number {}", number + 1));
+                faults.push(format!("{what} {name}: {error}; left out"));
+            })
+            .ok()
+    };
+    entries.into_iter().enumerate().filter_map(decode).collect()
 }
 
 fn convert_route(wire: WireRoute) -> Route {
@@ -114,7 +146,8 @@
         prefix: wire.path_prefix,
         idempotency: match wire.kind {
             WireKind::Safe => Idempotency::Idempotent,
-            WireKind::Unsafe => Idempotency::NonIdempotent,
+            WireKind::Unsafe | WireKind::Unknown => Idempotency::NonIdempotent,
+            WireKind::Upload => Idempotency::Upload,
             WireKind::Download => Idempotency::Download,
         },
         timeout: wire.timeout,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -26,7 +26,8 @@
 /// Guards against rejecting or misreading the example configuration.
 #[test]
 fn the_example_configuration_is_decoded() {
-    let catalog = decode_catalog(Offset(4), CONFIGURATION.as_bytes()).expect("a configuration");
+    let (catalog, faults) = decode_catalog(Offset(4), CONFIGURATION.as_bytes()).expect("a configuration");
+    assert!(faults.is_empty());
     assert_eq!(catalog.version.to_string(), "00000001");
     let route = catalog
         .find_route("licencias.example", "/renovaciones/7")
@@ -36,6 +37,30 @@
     assert!(catalog.validate().is_empty());
 }
 
+/// Guards against a configuration that doesn't come into force because one of its entries has something that this build
+/// doesn't know: no request of any route was served on such a day.
+#[test]
+fn unknown_entries_do_not_stop_the_others() {
+    let with = |from: &str, to: &str| {
+        let text = CONFIGURATION.replacen(from, to, 1);
+        assert_ne!(text, CONFIGURATION, "{from}");
+        decode_catalog(Offset(4), text.as_bytes()).expect("a configuration")
+    };
+    let path = "/renovaciones/7";
+    let (catalog, faults) = with("\"unsafe\"", "\"upload\"");
+    let route = catalog.find_route("licencias.example", path).expect("a route");
+    assert_eq!(route.idempotency, Idempotency::Upload);
+    assert!(faults.is_empty());
+    let (catalog, faults) = with("\"unsafe\"", "\"stream\"");
+    let route = catalog.find_route("licencias.example", path).expect("a route");
+    assert!(!route.idempotency.is_retryable(), "the strictest kind");
+    assert_eq!(faults.len(), 1);
+    let (catalog, faults) = with("\"unsafe\"", "7");
+    assert!(catalog.find_route("licencias.example", path).is_none());
+    assert!(catalog.find_route("licencias.example", "/placas/7").is_some());
+    assert!(faults[0].contains("renovaciones"), "{faults:?}");
+}
+
 /// Guards against accepting a malformed record of another writer, or a part of it.
 #[test]
 fn malformed_records_are_rejected() {
