Serve tenants: credentials, caps over all hosts, revocation in time

Hosts identify tenants by keyed hashes of credentials; the grantor of keys issues tokens of each tenant's cap to the hosts that ask; a host accepts credentials only while it knows the configuration in force as of a time within the revocation bound, which it learns from the store or by questions to readers.

--- a/src/budget/limit.rs
+++ b/src/budget/limit.rs
@@ -1,11 +1,11 @@
-//! Limit that an upstream names for the requests of all hosts, divided among the hosts.
+//! Limit on the requests of all hosts, such as an upstream names, divided among the hosts.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::types::{HostName, Rate, UpstreamName};
+use crate::types::{HostName, Rate};
 
 /// Requests per second of all hosts together that are sent whatever the limit; only responses show that the limit
 /// has ended.
@@ -32,15 +32,15 @@
 }
 
 impl Division {
-    /// Returns the division at a time since the Unix epoch.
+    /// Returns the division of the limit that is named `subject` at a time since the Unix epoch.
     pub(crate) fn of_host<'a>(
         unix_time: Duration,
         hosts: impl Iterator<Item = &'a HostName>,
         own: &HostName,
-        upstream: &UpstreamName,
+        subject: &str,
     ) -> Self {
         let turn = unix_time.as_secs() / TURN_TIME.as_secs();
-        let score = |host: &HostName| xxh3_64(format!("{host} {upstream} {turn}").as_bytes());
+        let score = |host: &HostName| xxh3_64(format!("{host} {subject} {turn}").as_bytes());
         let own_score = score(own);
         let mut division = Self {
             hosts: 0,
--- a/src/budget/tests.rs
+++ b/src/budget/tests.rs
@@ -58,7 +58,6 @@
 /// times the limit that it names and five requests, whatever the hosts send and whenever they learn of the limit.
 #[test]
 fn shares_of_a_named_limit_stay_within_the_bound() {
-    let upstream = "u1".parse().expect("valid name");
     for (hosts, limit) in [
         (1_u32, "4"),
         (3, "0.5"),
@@ -83,7 +82,7 @@
             // All hosts are idle for 5 s, then all of them want to send as much as they may.
             let time = Duration::from_millis(10 * step);
             if step % 1_000 == 0 {
-                let division = |own| Division::of_host(time, names.iter(), own, &upstream);
+                let division = |own| Division::of_host(time, names.iter(), own, "u1");
                 divisions = names.iter().map(division).collect();
             }
             for (division, limiter) in divisions.iter().zip(&mut limiters).filter(|_| step > 500) {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -7,6 +7,7 @@
 
 use http::Uri;
 
+use crate::tenants::TenantDirectory;
 use crate::types::{Offset, PoolName, RouteName, UpstreamName, Zone};
 
 #[cfg(test)]
@@ -79,6 +80,8 @@
     /// Largest number of upstreams to which one request may be sent.
     pub(crate) attempts: u32,
     pub(crate) targets: Vec<Target>,
+    /// Whether requests need no credential.
+    pub(crate) is_public: bool,
 }
 
 /// A group of upstreams that serve the same requests.
@@ -116,6 +119,8 @@
     pub(crate) routes: BTreeMap<String, BTreeMap<String, Route>>,
     pub(crate) pools: BTreeMap<PoolName, Pool>,
     pub(crate) limits: CallerLimits,
+    /// Tenants by credential; `None` if requests need no credential.
+    pub(crate) tenants: Option<TenantDirectory>,
 }
 
 impl Catalog {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -13,6 +13,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(300),
         priority: 0,
+        is_public: false,
         attempts: 2,
         targets: vec![Target {
             pool: "p".parse().expect("a name"),
@@ -39,6 +40,7 @@
             body_bytes: 1 << 20,
             idle_time: Duration::from_secs(15),
         },
+        tenants: None,
     }
 }
 
--- a/src/gateway/counting.rs
+++ b/src/gateway/counting.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use slog::warn;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -20,6 +21,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// Returns the time since the start of the machine, which counts the time of suspensions.
+pub(super) fn boot_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
+
 /// Counts a request that has ended.
 pub(crate) fn count_request(gateway: &Gateway, route: &RouteName, verdict: Verdict) {
     let month = Month::of(unix_time());
--- a/src/gateway/directives.rs
+++ b/src/gateway/directives.rs
@@ -80,7 +80,7 @@
             info!(gateway.log, "upstream names a limit"; "upstream" => %upstream, "limit" => %limit,
                 "hosts" => gateway.host_count());
             match limiter {
-                Some(limiter) => limiter.set_limit(now, limit, gateway.division(upstream)),
+                Some(limiter) => limiter.set_limit(now, limit, gateway.division(upstream.as_str())),
                 None => *limiter = Some(RateLimiter::new(now, limit, gateway.rng.borrow_mut().random())),
             }
         }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::counting::boot_time;
 use super::peers::Message;
 use super::state::Gateway;
 use super::watch::{apply_record, has_table, retain_listed};
@@ -87,7 +88,7 @@
 pub(crate) async fn follow_topics(gateway: Rc<Gateway>) {
     loop {
         let topics = wait_for_read(&gateway).await;
-        let started = Instant::now();
+        let (started, boot_started) = (Instant::now(), boot_time());
         // While the store doesn't respond, one call detects its recovery as well as three.
         let probe = if gateway.feed.schedule.get().is_failing() {
             read_topic(&gateway, Topic::Upstreams).await
@@ -99,7 +100,13 @@
             Err(error) => Err(error),
         };
         match result {
-            Ok(deltas) => record_success(&gateway, started, &topics, deltas),
+            Ok(deltas) => {
+                let is_complete = !gateway.feed.requested.borrow().contains(&Topic::Operators);
+                if topics.contains(&Topic::Operators) && is_complete {
+                    gateway.tenancy.record_read(boot_started);
+                }
+                record_success(&gateway, started, &topics, deltas);
+            }
             Err(error) => {
                 gateway.feed.requested.borrow_mut().extend(Topic::ALL);
                 let backoff = record_failure(&gateway, &error);
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nix::time::{ClockId, clock_gettime};
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use super::connect::{Endpoint, SessionNumber};
+use super::counting::boot_time;
 use super::election::run_election;
 use super::orders::{GRANT_CALL_TIMEOUT, check_cold, grant, release, request_load};
 use super::peers::Message;
@@ -112,6 +112,20 @@
             .is_some_and(|active| active.epoch == epoch)
     }
 
+    /// Returns this host's epoch, and since when it has been the only grantor, while no other host can assume that it has
+    /// stopped.
+    pub(super) fn sole_epoch(&self, now: Instant) -> Option<(u64, Instant)> {
+        let active = self.active.borrow();
+        let active = active.as_ref().filter(|active| !active.needs_confirmation)?;
+        let grantors = || active.pools.values().map(|pool| &pool.grantor);
+        let is_confirmed = grantors().all(|grantor| grantor.may_send_commands(now, &active.confirmations));
+        let stopped_by = grantors()
+            .filter_map(|grantor| grantor.predecessors().stopped_by())
+            .max();
+        let since = stopped_by.map_or(active.active_since, |at| at.max(active.active_since));
+        (is_confirmed && !active.pools.is_empty() && since <= now).then_some((active.epoch, since))
+    }
+
     pub(crate) fn is_grantor(&self) -> bool {
         self.active.borrow().is_some()
     }
@@ -152,8 +166,7 @@
 /// An increase from one call to the next is time for which the process was suspended.
 fn clock_drift(start: Instant) -> Duration {
     // Both clocks start at boot; `start` adds a constant, so only changes of the difference matter.
-    let boot = clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from);
-    boot.saturating_sub(start.elapsed())
+    boot_time().saturating_sub(start.elapsed())
 }
 
 async fn run_grantor(gateway: Rc<Gateway>, saves: UnboundedSender<SaveRequest>) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod state;
 mod stop;
 mod support;
+mod tenancy;
 mod watch;
 
 #[cfg(test)]
@@ -60,6 +61,7 @@
     peers::start_peers(&gateway).await?;
     crashes::start_crash_watch(&gateway);
     grants::start_grants(&gateway);
+    tenancy::start_tenancy(&gateway);
     counting::start_saving(&gateway);
     callers::start_callers(&gateway, listeners);
     stop::wait_for_stop(&gateway).await?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,13 +25,14 @@
 use super::orders::record_cold;
 use super::state::{Gateway, Presence};
 use super::support::{confirm_grantor, record_confirmation, record_epoch_ack, run_confirmation_rounds, step_down};
+use super::tenancy::{TokenIssue, TokenRequest, answer_freshness, apply_issues, issue_tokens, record_freshness};
 use super::watch::{HOST_PREFIX, apply_table_delta};
 use crate::fleet::Fingerprint;
 use crate::keys::{HostIncarnation, KeyCounts, TableDelta};
 use crate::platform::HOST_TOPIC;
 use crate::relay::{Topic, TopicDelta};
 use crate::telemetry::Direction;
-use crate::types::{HostName, UpstreamName};
+use crate::types::{HostName, Offset, UpstreamName};
 
 /// Time between two reports of request counts to the grantor.
 const COUNTS_PERIOD: Duration = Duration::from_millis(500);
@@ -58,6 +59,7 @@
 /// - The store has what `OwnersChanged`, `Refresh` and `Relay` are about; hosts that miss one read the store.
 /// - `CrashReports` are sent several times, to several homes; each has all that the host has seen.
 /// - `Admissions` are repeated while an owner is overloaded; without them all requests are admitted.
+/// - `TokenRequest` and `FreshnessRequest` are repeated until they are answered; tokens that are lost stay unused.
 /// - `Leaving` is not repeated. A host that misses it learns from the next response of the upstream.
 /// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
 ///   grantor's request rates are too low for a time.
@@ -106,6 +108,15 @@
     EpochAck { incarnation: HostIncarnation, epoch: u64 },
     /// Shares of the requests that hosts are to admit for overloaded owners of keys.
     Admissions(BTreeMap<UpstreamName, f64>),
+    /// A host asks the keeper of the tenants' caps for tokens and returns those that it didn't use.
+    TokenRequest(Vec<TokenRequest>),
+    /// Response to [`Message::TokenRequest`].
+    TokenIssue(Vec<TokenIssue>),
+    /// A host asks whether the configuration that it knows is in force.
+    FreshnessRequest { number: u64 },
+    /// Response to [`Message::FreshnessRequest`]: the sender knew `age_ms` ago that all operators' records before an offset
+    /// are those of the store.
+    Freshness { number: u64, age_ms: u64, next: Offset },
 }
 
 impl Message {
@@ -126,6 +137,10 @@
             Self::Relay(_) => "relay",
             Self::EpochAck { .. } => "epoch-ack",
             Self::Admissions(_) => "admissions",
+            Self::TokenRequest(_) => "token-request",
+            Self::TokenIssue(_) => "token-issue",
+            Self::FreshnessRequest { .. } => "freshness-request",
+            Self::Freshness { .. } => "freshness",
         }
     }
 }
@@ -254,6 +269,18 @@
             Ok(Message::Relay(deltas)) => apply_deltas(&gateway, &deltas),
             Ok(Message::Refresh) => gateway.feed.request_read(Topic::Hosts),
             Ok(Message::Admissions(shares)) => gateway.record_admissions(Instant::now(), &shares),
+            Ok(Message::TokenRequest(requests)) => {
+                if let Some(issues) = issue_tokens(&gateway, &requests) {
+                    send(&gateway, &socket, sender, &Message::TokenIssue(issues)).await;
+                }
+            }
+            Ok(Message::TokenIssue(issues)) => apply_issues(&gateway, &issues),
+            Ok(Message::FreshnessRequest { number }) => {
+                if let Some(reply) = answer_freshness(&gateway, number) {
+                    send(&gateway, &socket, sender, &reply).await;
+                }
+            }
+            Ok(Message::Freshness { number, age_ms, next }) => record_freshness(&gateway, number, age_ms, next),
             Ok(Message::EpochAck { incarnation, epoch }) => record_epoch_ack(&gateway, &incarnation, epoch),
             Err(error) => warn!(gateway.log, "datagram from another host can't be decoded; ignored";
                 "bytes" => length, "error" => error),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -20,10 +20,12 @@
 use super::counting::count_request;
 use super::framing::Caller;
 use super::state::Gateway;
+use super::tenancy::{identify, return_token, set_tenant_headers, take_token};
 use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
 use crate::memory::Holder;
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, REQUEST_ID, SHARD_KEY};
+use crate::tenants::Tenant;
 use crate::types::{PoolName, Reason, UpstreamName, Verdict};
 
 /// Range that `Retry-After` is drawn from while no upstream can take a request: about the duration of a
@@ -52,6 +54,8 @@
     pub(super) route: Route,
     pub(super) pool: PoolName,
     pub(super) key: Option<u16>,
+    /// Tenant that holds the caller's credential.
+    pub(super) tenant: Option<Rc<Tenant>>,
     pub(super) head: Parts,
     pub(super) body: BufferedBody,
     pub(super) fingerprint: Fingerprint,
@@ -70,6 +74,13 @@
 }
 
 impl RequestContext {
+    /// Puts back the token of the tenant's cap if no upstream ran the request.
+    fn return_token(&self, verdict: Verdict) {
+        if let Some(tenant) = self.tenant.as_ref().filter(|_| verdict == Verdict::NotRun) {
+            return_token(&self.gateway, tenant);
+        }
+    }
+
     /// Returns the verdict if the request ends now, without a response to the attempt under way.
     fn verdict_if_ended(&self) -> Verdict {
         if self.is_attempting {
@@ -97,6 +108,7 @@
             return;
         }
         let verdict = self.verdict_if_ended();
+        self.return_token(verdict);
         count_request(&self.gateway, &self.route.name, verdict);
         info!(self.gateway.log, "caller left"; "request" => self.id.to_str().unwrap_or_default(),
             "route" => %self.route.name, "pool" => %self.pool, "verdict" => verdict.as_str(),
@@ -163,7 +175,9 @@
     let join = |names: &[UpstreamName]| names.iter().map(UpstreamName::as_str).collect::<Vec<_>>().join(",");
     let upstreams = join(&ctx.tried);
     let verdict = result.as_ref().map_or_else(|refusal| refusal.verdict, |_| Verdict::Ran);
+    ctx.return_token(verdict);
     count_request(gateway, &ctx.route.name, verdict);
+    let tenant = ctx.tenant.as_ref().map(|tenant| tenant.name.as_str());
     match result {
         Ok(response) => {
             gateway
@@ -172,13 +186,13 @@
             gateway.metrics.observe_time(&ctx.route.name, ctx.arrived.elapsed());
             info!(gateway.log, "request answered"; "request" => id, "route" => %ctx.route.name,
                 "configuration" => %ctx.catalog.version, "pool" => %ctx.pool, "key" => ctx.key,
-                "upstreams" => upstreams, "status" => response.status().as_u16(), "ms" => ms);
+                "tenant" => tenant, "upstreams" => upstreams, "status" => response.status().as_u16(), "ms" => ms);
         }
         Err(refusal) => {
             gateway.metrics.count_refusal(refusal.reason);
             warn!(gateway.log, "request refused"; "request" => id, "route" => %ctx.route.name,
                 "configuration" => %ctx.catalog.version, "pool" => %ctx.pool, "key" => ctx.key,
-                "upstreams" => upstreams, "unreachable" => join(&ctx.unreachable), "reason" => refusal.reason.as_str(),
+                "tenant" => tenant, "upstreams" => upstreams, "unreachable" => join(&ctx.unreachable), "reason" => refusal.reason.as_str(),
                 "verdict" => refusal.verdict.as_str(), "status" => refusal.status().as_u16(),
                 "retry_after_ms" => refusal.retry_after.map(|t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX)),
                 "ms" => ms);
@@ -224,6 +238,7 @@
         }
     };
     let deadline = arrived + caller_timeout.unwrap_or(route.timeout).min(route.timeout);
+    let tenant = identify(gateway, &catalog, &route, &head.headers)?;
     let pool = gateway.choose_target(&route).ok_or(refuse(Reason::NoUpstream))?;
     let is_sharded = catalog.pools.get(&pool).is_some_and(|pool| pool.is_sharded);
     let key = if is_sharded {
@@ -231,6 +246,13 @@
     } else {
         None
     };
+    if let Some(tenant) = &tenant {
+        let result = take_token(gateway, tenant).await;
+        gateway
+            .metrics
+            .count_tenant(&tenant.name, result.as_ref().err().map(|refusal| refusal.reason));
+        result.map_err(|refusal| log_capped(gateway, &id, tenant, refusal))?;
+    }
     let limit = catalog.limits.body_bytes;
     let body = timeout_at(deadline, read_body(&gateway.memory, body, limit)).await;
     let body = body.unwrap_or(Err(Reason::BodyIncomplete)).map_err(|reason| {
@@ -242,6 +264,7 @@
     for name in [CONTENT_LENGTH, EXPECTED_INSTANCE] {
         head.headers.remove(name);
     }
+    set_tenant_headers(&catalog, tenant.as_deref(), &mut head.headers);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let fingerprint = Fingerprint::of(head.method.as_str(), path, body.segments());
     if is_refused(gateway, fingerprint) {
@@ -261,6 +284,7 @@
         route,
         pool,
         key,
+        tenant,
         head,
         body,
         fingerprint,
@@ -273,6 +297,13 @@
     })
 }
 
+/// Logs which tenant's cap a refusal is about, and returns the refusal.
+fn log_capped(gateway: &Gateway, id: &HeaderValue, tenant: &Tenant, refusal: Refusal) -> Refusal {
+    warn!(gateway.log, "tenant has no token"; "request" => id.to_str().unwrap_or_default(),
+        "tenant" => %tenant.name, "reason" => refusal.reason.as_str(), "cap" => tenant.rate, "burst" => tenant.burst);
+    refusal
+}
+
 fn read_key(head: &Parts) -> Option<u16> {
     head.headers.get(SHARD_KEY)?.to_str().ok()?.trim().parse().ok()
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use super::grants::Grants;
 use super::peers::Outbox;
 use super::stop::ShutdownSchedule;
+use super::tenancy::{Tenancy, accepts_credentials};
 use crate::budget::{ColdLimiter, ColdQuota, Division, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
@@ -118,6 +119,7 @@
     /// Requests by pool and key since the last message to the grantor.
     pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
     pub(crate) grants: Grants,
+    pub(crate) tenancy: Tenancy,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) crash_watch: CrashWatch,
@@ -191,6 +193,7 @@
             route_stats: RefCell::default(),
             key_counts: RefCell::default(),
             grants: Grants::default(),
+            tenancy: Tenancy::default(),
             runs: RefCell::default(),
             suspects: RefCell::default(),
             crash_watch: CrashWatch::default(),
@@ -228,7 +231,8 @@
         let tables = self.tables.borrow();
         let mut sharded = catalog.pools.values().filter(|pool| pool.is_sharded);
         let has_owners = sharded.all(|pool| tables.contains_key(&pool.name));
-        self.fleet_known.get() && has_owners && !self.is_stopping.get()
+        let accepts_callers = catalog.tenants.is_none() || accepts_credentials(self);
+        self.fleet_known.get() && has_owners && accepts_callers && !self.is_stopping.get()
     }
 
     /// Returns a snapshot of the state for the metrics.
@@ -361,14 +365,14 @@
     /// Reports whether an upstream names no limit, or this host's share of it has room.
     pub(crate) fn admits_limited(&self, now: Instant, upstream: &Upstream) -> bool {
         let limiter = upstream.limiter.as_ref();
-        limiter.is_none_or(|limiter| limiter.admits(now, self.division(&upstream.announcement.upstream)))
+        limiter.is_none_or(|limiter| limiter.admits(now, self.division(upstream.announcement.upstream.as_str())))
     }
 
-    /// Returns how the limit of an upstream is divided among the hosts.
-    pub(crate) fn division(&self, upstream: &UpstreamName) -> Division {
+    /// Returns how a limit is divided among the hosts.
+    pub(crate) fn division(&self, subject: &str) -> Division {
         let (hosts, departed) = (self.hosts.borrow(), self.departed.borrow());
         let hosts = hosts.keys().chain(departed.keys());
-        Division::of_host(unix_time(), hosts, &self.settings.host, upstream)
+        Division::of_host(unix_time(), hosts, &self.settings.host, subject)
     }
 
     /// Returns the number of connections that this host may open to one upstream for requests.
@@ -438,7 +442,7 @@
         entry.load.in_flight += 1;
         entry.health.start();
         if let Some(limiter) = &mut entry.limiter {
-            limiter.record_sent(now, self.division(upstream));
+            limiter.record_sent(now, self.division(upstream.as_str()));
         }
         if entry.is_cold(now) {
             let mut limiters = self.cold_limiters.borrow_mut();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`fleet`], [`keys`], [`budget`]: decisions without I/O: which upstream receives a request, which
 //!   upstream owns which keys, and limits that hold for all hosts together;
 //! - [`memory`]: limits on what this process holds for callers and upstreams;
+//! - [`tenants`]: who sends a request, and what each tenant may send to all hosts together;
 //! - [`relay`]: which hosts read the store on behalf of all;
 //! - [`counts`]: monthly totals of the requests that partners are billed for;
 //! - [`gateway`]: the process that supplies the input of the decisions and executes them;
@@ -31,6 +32,7 @@
 mod keys;
 mod memory;
 mod relay;
+mod tenants;
 
 mod gateway;
 
--- a/src/platform/bounds.rs
+++ b/src/platform/bounds.rs
@@ -25,6 +25,14 @@
     pub(crate) cold_extra: f64,
     /// Time after which the upstreams of an evacuated availability zone receive no more requests.
     pub(crate) evacuation: Duration,
+    /// Time after which no host accepts a credential that operators have removed; `None` without such a bound.
+    pub(crate) revocation: Option<Duration>,
+    /// Window over which the requests of a tenant are counted.
+    pub(crate) cap_window: Duration,
+    /// Share of a tenant's cap by which it may be exceeded in a window.
+    pub(crate) cap_overage: f64,
+    /// Requests by which a tenant's cap may be exceeded in a window in addition.
+    pub(crate) cap_extra: f64,
 }
 
 impl Default for Bounds {
@@ -40,6 +48,10 @@
             cold_factor: 1.0,
             cold_extra: 1.0,
             evacuation: Duration::from_secs(5),
+            revocation: None,
+            cap_window: Duration::from_secs(5),
+            cap_overage: 0.0,
+            cap_extra: 0.0,
         }
     }
 }
@@ -51,6 +63,7 @@
 /// Returns a description of the first bound that doesn't parse.
 pub(crate) fn decode_bounds<'a>(texts: impl IntoIterator<Item = &'a str>) -> Result<Bounds, String> {
     let mut bounds = Bounds::default();
+    let (mut is_strict, mut revocation) = (false, None);
     for text in texts {
         let (name, value) = text
             .split_once('=')
@@ -72,8 +85,14 @@
             "cold_burst_factor" => bounds.cold_factor = number()?,
             "cold_slack" => bounds.cold_extra = number()?,
             "evacuate" => bounds.evacuation = time()?,
+            "strict_revoke" => is_strict = value == "true",
+            "revoke" => revocation = Some(time()?),
+            "quota_window" => bounds.cap_window = time()?,
+            "quota_overage" => bounds.cap_overage = number()?,
+            "quota_slack" => bounds.cap_extra = number()?,
             _ => {}
         }
     }
+    bounds.revocation = revocation.filter(|_| is_strict);
     Ok(bounds)
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,6 +1,7 @@
 //! Wire format of the operators' configuration.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -9,7 +10,8 @@
 
 use super::units::{read_optional_time, read_time, read_version};
 use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target};
-use crate::types::{Offset, PoolName, RouteName};
+use crate::tenants::{Tenant, TenantDirectory};
+use crate::types::{Offset, PoolName, RouteName, TenantName};
 
 /// Requests per second that a cold upstream is assumed to tolerate if its pool states no rate.
 const DEFAULT_COLD_PER_S: f64 = 1e9;
@@ -23,6 +25,7 @@
     routes: Vec<Value>,
     services: Vec<Value>,
     limits: WireLimits,
+    tenants: Option<Vec<Value>>,
 }
 
 #[derive(Deserialize)]
@@ -41,6 +44,21 @@
     #[serde(default)]
     traffic_split: Vec<WireTarget>,
     max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    name: TenantName,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    /// Requests per second; 0 means no cap.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -106,7 +124,12 @@
     }
     let pools = decode_entries::<WireService>("service", wire.services, &mut faults);
     let pools = pools.into_iter().map(convert_pool);
+    let tenants = wire.tenants.map(|entries| {
+        let tenants = decode_entries::<WireTenant>("tenant", entries, &mut faults);
+        build_directory(tenants, &mut faults)
+    });
     let catalog = Catalog {
+        tenants,
         version: CatalogVersion(wire.version),
         offset,
         routes,
@@ -120,6 +143,36 @@
     Ok((catalog, faults))
 }
 
+fn build_directory(tenants: Vec<WireTenant>, faults: &mut Vec<String>) -> TenantDirectory {
+    let mut directory = TenantDirectory::new(rand::random());
+    for wire in tenants {
+        let is_number = |number: f64| number.is_finite() && number >= 0.0;
+        if !(is_number(wire.rate_per_s) && is_number(wire.burst)) {
+            faults.push(format!(
+                "tenant {}: the cap is not a number of 0 or more; left out",
+                wire.name
+            ));
+            continue;
+        }
+        let tenant = Rc::new(Tenant {
+            name: wire.name,
+            priority: wire.priority,
+            rate: (wire.rate_per_s > 0.0).then_some(wire.rate_per_s),
+            burst: wire.burst,
+        });
+        for (number, key) in wire.api_keys.iter().enumerate() {
+            if !directory.add(key, &tenant) {
+                faults.push(format!(
+                    "tenant {}: another tenant holds key number {}; it stays there",
+                    tenant.name,
+                    number + 1
+                ));
+            }
+        }
+    }
+    directory
+}
+
 /// Decodes the entries of a list one by one and adds a fault for each that can't be decoded.
 fn decode_entries<T: DeserializeOwned>(what: &str, entries: Vec<Value>, faults: &mut Vec<String>) -> Vec<T> {
     let decode = |(number, entry): (usize, Value)| {
@@ -155,6 +208,7 @@
         priority: wire.priority,
         attempts: wire.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS).max(1),
         targets,
+        is_public: wire.public,
     }
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,10 @@
 pub(crate) const SIGNATURE: HeaderName = HeaderName::from_static("x-ragworthub-response-signature");
 /// Key of a request to a sharded pool, as a decimal number.
 pub(crate) const SHARD_KEY: HeaderName = HeaderName::from_static("x-ragworthub-shard-key");
+/// Credential of a caller, which is not passed on.
+pub(crate) const CREDENTIAL: HeaderName = HeaderName::from_static("x-ragworthub-credential");
+/// Name of the tenant that holds the caller's credential, for upstreams.
+pub(crate) const TENANT: HeaderName = HeaderName::from_static("x-ragworthub-tenant");
 /// Token that lets the next owner of a key start warm.
 pub(super) const HANDOVER: HeaderName = HeaderName::from_static("x-ragworthub-handover");
 /// Time for which the upstream stays cold, in milliseconds; sent in responses on its health path.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,8 +17,8 @@
 pub(crate) use bounds::{Bounds, decode_bounds};
 pub(crate) use configuration::decode_catalog;
 pub(crate) use headers::{
-    DEADLINE, EXPECTED_INSTANCE, INSTANCE, NOT_EXECUTED, REQUEST_ID, SHARD_KEY, SIGNATURE, read_cold, read_leaving,
-    read_limit, read_load, read_pause,
+    CREDENTIAL, DEADLINE, EXPECTED_INSTANCE, INSTANCE, NOT_EXECUTED, REQUEST_ID, SHARD_KEY, SIGNATURE, TENANT,
+    read_cold, read_leaving, read_limit, read_load, read_pause,
 };
 pub(crate) use orders::{LeaseCommand, encode_command, read_handover};
 pub(crate) use servers::decode_server;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of a gateway.
 
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -13,11 +14,13 @@
 use prometheus_client::registry::Registry;
 
 use crate::memory::Holder;
-use crate::types::{Reason, RouteName};
+use crate::types::{Reason, RouteName, TenantName};
 
 /// Upper bounds of the latency histogram's buckets, from a fast response to the longest timeout.
 const LATENCY_BUCKETS_SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 8.0];
 
+/// Limit on the number of tenants with metrics of their own.
+const TENANT_SERIES_MAX: usize = 200;
 /// Exported age of something that isn't known yet.
 const UNKNOWN_AGE_SECONDS: f64 = -1.0;
 
@@ -53,6 +56,12 @@
     connection: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TenantLabels {
+    tenant: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct HolderLabels {
     holder: &'static str,
@@ -92,6 +101,9 @@
     lease_calls: Family<CallLabels, Counter>,
     connections: Family<ConnectionLabels, Counter>,
     closed_callers: Family<ReasonLabels, Counter>,
+    tenants: Family<TenantLabels, Counter>,
+    /// Tenants with a series of their own.
+    known_tenants: RefCell<BTreeSet<TenantName>>,
     /// Bytes held for callers and upstreams.
     held_bytes: Family<HolderLabels, Gauge>,
     memory_limit: Gauge,
@@ -145,6 +157,8 @@
             lease_calls: Family::default(),
             connections: Family::default(),
             closed_callers: Family::default(),
+            tenants: Family::default(),
+            known_tenants: RefCell::default(),
             held_bytes: Family::default(),
             memory_limit: Gauge::default(),
             caller_connections: Gauge::default(),
@@ -260,6 +274,11 @@
             "Connections of callers that were closed or refused for want of room, by reason",
             self.closed_callers.clone(),
         );
+        r.register(
+            "tenant_requests",
+            "Requests by tenant and outcome at the cap",
+            self.tenants.clone(),
+        );
         r.register(
             "held_bytes",
             "Memory held for callers and upstreams by purpose",
@@ -282,6 +301,17 @@
         self.closed_callers.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts a request of a tenant, which its cap admits or refuses for a reason. Tenants beyond a number share a series.
+    pub(crate) fn count_tenant(&self, tenant: &TenantName, refusal: Option<Reason>) {
+        let mut known = self.known_tenants.borrow_mut();
+        let has_series = known.contains(tenant) || (known.len() < TENANT_SERIES_MAX && known.insert(tenant.clone()));
+        let labels = TenantLabels {
+            tenant: if has_series { tenant.as_str() } else { "other" }.to_owned(),
+            outcome: refusal.map_or("admitted", Reason::as_str),
+        };
+        self.tenants.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_response(&self, route: &RouteName, status: u16) {
         let labels = RouteStatusLabels {
             route: route.clone(),
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -99,6 +99,8 @@
     PoolName;
     /// Name of a route.
     RouteName;
+    /// Name of a tenant, whose callers share a cap.
+    TenantName;
     /// Name of an upstream, unique across pools.
     UpstreamName;
 }
--- a/src/types/rate.rs
+++ b/src/types/rate.rs
@@ -10,6 +10,11 @@
 pub(crate) struct Rate(f64);
 
 impl Rate {
+    /// Returns the rate of a number of requests per second; 0 if the number is negative or not finite.
+    pub(crate) fn from_f64(number: f64) -> Self {
+        Self(if number.is_finite() { number.max(0.0) } else { 0.0 })
+    }
+
     pub(crate) fn per_second(self) -> f64 {
         self.0
     }
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -96,6 +96,16 @@
     MemoryFull = "memory-full", 503;
     /// The caller's body ended early or was too slow.
     BodyIncomplete = "body-incomplete", 400;
+    /// The request has no credential, or one that no tenant holds.
+    UnknownCredential = "unknown-credential", 401;
+    /// The request has several credentials, or one that can't be valid.
+    BadCredential = "bad-credential", 400;
+    /// The tenant has used up its cap.
+    TenantCapped = "tenant-capped", 429;
+    /// Whether the tenant has used up its cap isn't known in time.
+    CapUnknown = "cap-unknown", 503;
+    /// The host doesn't know whether the credential has been removed.
+    CredentialUnsure = "credential-unsure", 503;
     /// The host has no configuration or list of upstreams yet.
     NotReady = "not-ready", 503;
     /// The host is shutting down, and no response is expected before its process ends.
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -472,7 +472,14 @@
         if request.uri().path().contains(LARGE_PATH) && request.method() == Method::GET {
             return self.build_reply(status, id, true, vec![b'l'; LARGE_BYTES].into());
         }
-        let text = json!({ "server": self.config.name, "path": request.uri().path(), "request": id }).to_string();
+        let text = json!({
+            "server": self.config.name,
+            "path": request.uri().path(),
+            "tenant": header("x-ragworthub-tenant"),
+            "credential": header("x-ragworthub-credential"),
+            "request": id,
+        })
+        .to_string();
         let length = text.len() * 2;
         match (self.build_reply(status, id, true, text.into()), fault) {
             (Reply::Complete(mut response), ServerFault::TruncateSized) => {
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod stops;
 #[allow(dead_code, reason = "each test program uses a part of the module")]
 mod support;
+mod tenants;
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
