Place keys at the speed of the load, by capacities that all hosts learn together

Change: hosts send service times to the grantor, which pools them (fleet/speeds.rs) and tells all hosts; plans use them as capacities. A round moves as many ranges from overloaded owners as the pool's size allows; moves that only even out loads stay few. Heats show in tenths of a second in rates by their significance. Nothing is planned while a table waits to be saved: its keys would lose their lease. Saves that only state readiness are at least 150 ms apart. Messages to all travel once to each other zone. Routes with large bodies stay in the zone of their host; hosts of an evacuated zone reuse connections.

--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -11,8 +11,8 @@
 /// Time constant with which the reported slowness decays; the slowness of an upstream's machine
 /// changes several times a second.
 const SLOWNESS_DECAY: Duration = Duration::from_millis(400);
-/// Time constant with which the latency ratio counts less: an upstream that was slow for a moment gets no requests
-/// that would show that it no longer is.
+/// Time constant with which the latency ratio that this host has seen counts less: an upstream that was slow for a moment
+/// gets no requests that would show that it no longer is.
 const LATENCY_RATIO_DECAY: Duration = Duration::from_secs(6);
 /// Weight of one response in the moving average of the latency ratio (EWMA).
 const LATENCY_RATIO_WEIGHT: f64 = 0.1;
@@ -36,6 +36,8 @@
     pub(crate) in_flight: u32,
     /// Moving average of latencies relative to the typical latency of the route; above 1 is slower.
     pub(crate) latency_ratio: f64,
+    /// The same as all hosts have observed it; 1 until this host is told.
+    typical_ratio: f64,
     /// When the last response arrived.
     responded_at: Instant,
     slots: f64,
@@ -51,6 +53,7 @@
         Self {
             in_flight: 0,
             latency_ratio: 1.0,
+            typical_ratio: 1.0,
             responded_at: now,
             slots: f64::from(slots.max(1)),
             other_requests: 0.0,
@@ -74,6 +77,11 @@
         self.latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - self.latency_ratio);
     }
 
+    /// Sets the latency ratio that all hosts have observed.
+    pub(crate) fn set_typical_ratio(&mut self, ratio: f64) {
+        self.typical_ratio = ratio;
+    }
+
     /// Estimates the factor by which waiting for a slot prolongs a further request.
     pub(crate) fn queue_factor(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.reported_at).as_secs_f64();
@@ -88,7 +96,9 @@
         let age = now.saturating_duration_since(self.reported_at).as_secs_f64();
         let slowness = 1.0 + (self.slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp();
         let silence = now.saturating_duration_since(self.responded_at).as_secs_f64();
-        let latency_ratio = 1.0 + (self.latency_ratio - 1.0) * (-silence / LATENCY_RATIO_DECAY.as_secs_f64()).exp();
+        let typical = self.typical_ratio;
+        let latency_ratio =
+            typical + (self.latency_ratio - typical) * (-silence / LATENCY_RATIO_DECAY.as_secs_f64()).exp();
         latency_ratio * slowness.max(0.5) * self.queue_factor(now)
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 mod pick;
 mod runs;
+mod speeds;
 mod suspects;
 
 #[cfg(test)]
@@ -26,6 +27,7 @@
 pub(crate) use load::{Load, LoadReport};
 pub(crate) use pick::{Locality, PickCriteria, expected_latency, pick_upstream};
 pub(crate) use runs::{Run, RunEnd, Runs};
+pub(crate) use speeds::{Observations, Observed, PoolSpeeds, SpeedBook, Speeds};
 pub(crate) use suspects::{Crash, CrashReport, Fingerprint, RequestReport, Suspects};
 
 /// Grace period after a store outage for upstreams whose entries have expired; upstreams announce
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -68,8 +68,14 @@
             && !criteria.tried.contains(&u.announcement.upstream)
             && has_room(u)
     };
+    let is_local = |u: &&Upstream| u.announcement.zone == *criteria.zone;
+    let has_local = fleet
+        .in_pool(criteria.pool)
+        .any(|u| is_local(&u) && fleet.is_in_service(u));
+    // The hosts of each zone find out about its own new upstreams.
+    let is_near = |u: &&Upstream| !has_local || is_local(u);
     if rng.random_bool(NEWCOMER_SHARE) {
-        let is_new = |u: &&Upstream| u.is_new_since(now, NEWCOMER_TIME);
+        let is_new = |u: &&Upstream| is_near(u) && u.is_new_since(now, NEWCOMER_TIME);
         let newcomers: Vec<&Upstream> = fleet.in_pool(criteria.pool).filter(is_new).filter(is_usable).collect();
         if let Some((upstream, factor)) = draw_best(now, &newcomers, rng)
             && factor <= PREFER_ROOM
@@ -79,7 +85,7 @@
     }
     let connected = criteria.connected.iter().filter_map(|name| fleet.get(name));
     let connected: Vec<&Upstream> = connected
-        .filter(|u| u.announcement.pool == *criteria.pool && u.announcement.zone == *criteria.zone)
+        .filter(|u| u.announcement.pool == *criteria.pool && is_near(u))
         .filter(is_usable)
         .collect();
     if let Some((upstream, factor)) = draw_best(now, &connected, rng)
@@ -88,9 +94,7 @@
         return Some(upstream.announcement.upstream.clone());
     }
     let candidates: Vec<&Upstream> = fleet.in_pool(criteria.pool).filter(is_usable).collect();
-    let (local, remote): (Vec<&Upstream>, Vec<&Upstream>) = candidates
-        .into_iter()
-        .partition(|u| u.announcement.zone == *criteria.zone);
+    let (local, remote): (Vec<&Upstream>, Vec<&Upstream>) = candidates.into_iter().partition(is_local);
     let local = draw_best(now, &local, rng);
     let remote = draw_best(now, &remote, rng);
     let chosen = match (local, remote) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::directives::apply_directives;
 use super::peers::Message;
 use super::request::RequestContext;
+use super::speeds::{record_service_time, reported_queue_factor};
 use super::state::Gateway;
 use crate::fleet::{Outcome, RunEnd};
 use crate::memory::{Holder, Reservation};
@@ -73,7 +74,10 @@
     ctx.tried.push(upstream.clone());
     Some(response.and_then(|response| {
         guard.hold_connection(sender, response.headers());
-        check_response(gateway, ctx, started.elapsed().div_f64(queue_factor), response, guard)
+        // The queue that the upstream reports with its response counts if it is longer.
+        let reported = read_load(response.headers()).map_or(1.0, reported_queue_factor);
+        let latency = started.elapsed().div_f64(queue_factor.max(reported));
+        check_response(gateway, ctx, latency, response, guard)
     }))
 }
 
@@ -281,6 +285,12 @@
         record_outcome(gateway, &upstream, Outcome::Failed);
         return Err(failure(Reason::BadResponse, Verdict::MayHaveRun));
     }
+    if let Some(length) = response.body().size_hint().exact() {
+        gateway.record_bytes(
+            &ctx.route.name,
+            length + ctx.body.size_hint().exact().unwrap_or_default(),
+        );
+    }
     let is_server_error = status.is_server_error();
     if is_server_error {
         // The body of a failure may be dropped before it is complete.
@@ -296,7 +306,7 @@
         },
     );
     if !is_server_error {
-        let ratio = gateway.record_latency(&ctx.route, latency);
+        let ratio = record_service_time(gateway, &ctx.pool, &ctx.route, &upstream, latency);
         if let Some(entry) = gateway.fleet.borrow_mut().get_mut(&upstream) {
             entry.load.record_latency(now, ratio);
         }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -47,7 +47,7 @@
     let criteria = PickCriteria {
         pool: &ctx.pool,
         zone: &gateway.settings.zone,
-        locality: if ctx.route.idempotency.is_large() {
+        locality: if gateway.is_large(&ctx.route) {
             Locality::StronglyPrefer
         } else {
             Locality::Prefer
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -142,12 +142,17 @@
     }
 }
 
-fn record_failure(gateway: &Gateway, error: &StoreError) -> Duration {
-    gateway.fleet.borrow_mut().record_store_failure(Instant::now());
-    if !gateway.feed.store_lost.replace(true) {
-        warn!(gateway.log, "store lost"; "error" => %error);
-    }
+/// Records a failed read and returns the backoff before the next one. While other hosts relay their reads, only the way
+/// from this host to the store has failed: entries that are gone have not expired in an outage.
+pub(super) fn record_failure(gateway: &Gateway, error: &StoreError) -> Duration {
+    let now = Instant::now();
     let mut schedule = gateway.feed.schedule.get();
+    if !schedule.is_relayed(now) {
+        gateway.fleet.borrow_mut().record_store_failure(now);
+        if !gateway.feed.store_lost.replace(true) {
+            warn!(gateway.log, "store lost"; "error" => %error);
+        }
+    }
     let backoff = schedule.record_failure(reader_rank(gateway));
     gateway.feed.schedule.set(schedule);
     backoff
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -20,7 +20,7 @@
 use super::state::Gateway;
 use super::watch::{TABLE_PREFIX, apply_table_delta};
 use crate::catalog::{Catalog, Pool};
-use crate::fleet::Upstream;
+use crate::fleet::{PoolSpeeds, SpeedBook, Upstream};
 use crate::keys::{
     Action, Admissions, Candidate, Confirmations, GrantOutcome, Grantor, Holder, HostIncarnation, KeyCounts, KeyRange,
     KeyRates, KeyTable, LeaseTiming, Move, ReleaseOutcome, WatchedOwner, measure_owners, plan_balance, plan_orphans,
@@ -46,7 +46,11 @@
 /// Least drift between the clocks with and without suspended time that shows a suspension.
 const SUSPENSION_DRIFT_MIN: Duration = Duration::from_millis(50);
 /// Time between two checks of the balance.
-const REBALANCE_PERIOD: Duration = Duration::from_millis(500);
+const REBALANCE_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two rounds of moves that only even out the loads.
+const EVEN_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two rounds of questions to overloaded owners for their queues.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
 /// Time that a new grantor waits for announcements before it assigns keys of a pool without owners.
 const FIRST_ASSIGNMENT_DELAY: Duration = Duration::from_secs(3);
 /// Time since an owner's first failed grant after which its keys go to others, unless it has answered a
@@ -64,7 +68,13 @@
 pub(super) struct PoolGrantor {
     pub(super) grantor: Grantor,
     pub(super) rates: KeyRates,
+    /// Speeds of the pool's upstreams as of the last check of the balance.
+    pub(super) speeds: Option<PoolSpeeds>,
     pub(super) last_rebalance: Instant,
+    /// When moves that only even out the loads were last planned.
+    pub(super) last_even: Instant,
+    /// When overloaded owners were last asked for their queues.
+    pub(super) last_watch: Instant,
     pub(super) admissions: Admissions,
 }
 
@@ -89,6 +99,8 @@
     /// Addresses of upstream incarnations, including those whose entries are gone from the store.
     pub(super) addresses: RefCell<BTreeMap<Holder, SocketAddr>>,
     pub(super) endpoints: RefCell<BTreeMap<Holder, Rc<Endpoint>>>,
+    /// Speeds of upstreams as all hosts have observed them, while this host is the grantor.
+    pub(super) speed_book: RefCell<SpeedBook>,
     /// Session in which each lease, named by its holder and fence, was last accepted.
     pub(super) sessions: RefCell<BTreeMap<(Holder, u64), SessionNumber>>,
     /// Generation of the membership in the election group, as of the last join.
@@ -242,7 +254,10 @@
         let pool_grantor = PoolGrantor {
             grantor: Grantor::take_over(now, host, active.epoch, table, timing),
             rates: KeyRates::default(),
+            speeds: None,
             last_rebalance: now,
+            last_even: now,
+            last_watch: now,
             admissions: Admissions::default(),
         };
         active.pools.insert(pool.name.clone(), pool_grantor);
@@ -294,8 +309,8 @@
     });
 }
 
-/// Moves keys whose owner is lost, and twice a second those of overloaded owners. Returns the owners to ask for their
-/// queues then.
+/// Moves keys whose owner is lost, and in a longer period those of overloaded owners. Returns the owners to ask for their
+/// queues, if that is due.
 fn plan_moves(
     gateway: &Gateway,
     now: Instant,
@@ -308,6 +323,19 @@
         return Vec::new();
     };
     let typical = typical_latency(gateway, catalog, name).as_secs_f64();
+    let elapsed = now.duration_since(pool.last_rebalance);
+    let is_due = elapsed >= REBALANCE_PERIOD;
+    if is_due && gateway.settings.learns_capacity() {
+        let members = fleet.in_pool(name).map(|u| &u.announcement.upstream);
+        pool.speeds = gateway.grants.speed_book.borrow().speeds(now, members);
+    }
+    let service_ratio = |u: &Upstream| {
+        let learned = pool
+            .speeds
+            .as_ref()
+            .map(|speeds| speeds.ratio(&u.announcement.upstream));
+        learned.unwrap_or(u.load.latency_ratio)
+    };
     let unresponsive = pool
         .grantor
         .unresponsive_since(now.checked_sub(UNRESPONSIVE_LIMIT).unwrap_or(now));
@@ -317,7 +345,7 @@
         .filter(|u| !unresponsive.contains(&Holder::of(&u.announcement)))
         .map(|u| Candidate {
             holder: Holder::of(&u.announcement),
-            capacity: f64::from(u.announcement.slots) / (typical * u.load.latency_ratio.clamp(0.4, 3.0)),
+            capacity: f64::from(u.announcement.slots) / (typical * service_ratio(u).clamp(0.4, 3.0)),
             limit: load_limit(now, settings, u),
         })
         .collect();
@@ -337,23 +365,31 @@
         log_moves(gateway, name, why, &moves);
         pool.grantor.apply(&moves);
     }
-    let elapsed = now.duration_since(pool.last_rebalance);
-    if elapsed < REBALANCE_PERIOD {
+    if !is_due {
         return Vec::new();
     }
     pool.last_rebalance = now;
     pool.rates.advance(elapsed);
-    let is_settled = pool
-        .grantor
-        .table()
-        .assignments
-        .iter()
-        .all(|assignment| assignment.ready);
-    if is_settled {
-        let moves = plan_balance(pool.grantor.table(), &candidates, &pool.rates);
+    // While the table can't be saved, each move would take the lease of its keys away without a new owner.
+    if pool.grantor.is_saved() {
+        let is_settled = pool
+            .grantor
+            .table()
+            .assignments
+            .iter()
+            .all(|assignment| assignment.ready);
+        let evens_out = is_settled && now >= pool.last_even + EVEN_PERIOD;
+        if evens_out {
+            pool.last_even = now;
+        }
+        let moves = plan_balance(pool.grantor.table(), &candidates, &pool.rates, evens_out);
         log_moves(gateway, name, "balance", &moves);
         pool.grantor.apply(&moves);
     }
+    if now < pool.last_watch + WATCH_PERIOD {
+        return Vec::new();
+    }
+    pool.last_watch = now;
     let owners = measure_owners(pool.grantor.table(), &candidates, &pool.rates);
     pool.admissions.watched(owners.into_iter())
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod orders;
 mod peers;
 mod request;
+mod speeds;
 mod state;
 mod stop;
 mod support;
@@ -32,7 +33,7 @@
 use std::rc::Rc;
 
 use slog::{Logger, info};
-use tokio::task::LocalSet;
+use tokio::task::{LocalSet, spawn_local};
 
 pub(crate) use connect::{CallError, Endpoint};
 
@@ -62,6 +63,7 @@
     crashes::start_crash_watch(&gateway);
     grants::start_grants(&gateway);
     tenancy::start_tenancy(&gateway);
+    spawn_local(speeds::share_speeds(Rc::clone(&gateway)));
     counting::start_saving(&gateway);
     callers::start_callers(&gateway, listeners);
     stop::wait_for_stop(&gateway).await?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,12 +2,14 @@
 //! changes of key owners and relayed store records.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -17,22 +19,24 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::crashes::{WireReport, apply_reports};
 use super::directives::record_leaving;
 use super::feed::{apply_deltas, readers};
 use super::grants::record_counts;
 use super::orders::record_cold;
+use super::speeds::{apply_speeds, record_observations};
 use super::state::{Gateway, Presence};
 use super::support::{confirm_grantor, record_confirmation, record_epoch_ack, run_confirmation_rounds, step_down};
 use super::tenancy::{TokenIssue, TokenRequest, answer_freshness, apply_issues, issue_tokens, record_freshness};
 use super::watch::{HOST_PREFIX, apply_table_delta};
-use crate::fleet::Fingerprint;
+use crate::fleet::{Fingerprint, Observed, Speeds};
 use crate::keys::{HostIncarnation, KeyCounts, TableDelta};
 use crate::platform::HOST_TOPIC;
 use crate::relay::{Topic, TopicDelta};
 use crate::telemetry::Direction;
-use crate::types::{HostName, Offset, UpstreamName};
+use crate::types::{HostName, Offset, UpstreamName, Zone};
 
 /// Time between two reports of request counts to the grantor.
 const COUNTS_PERIOD: Duration = Duration::from_millis(500);
@@ -40,6 +44,10 @@
 const MESSAGE_KEYS_MAX: usize = 200;
 /// Largest message to all hosts; the fan-out of a larger one to a hundred hosts would fill small links.
 const MESSAGE_MAX_BYTES: usize = 8 << 10;
+/// Number of hosts of another availability zone from which on messages to all are sent on there.
+const FORWARD_HOSTS_MIN: usize = 4;
+/// Hosts of a zone that take turns in sending messages on.
+const FORWARDERS_PER_ZONE: usize = 2;
 /// Largest datagram that is received.
 const DATAGRAM_MAX_BYTES: usize = 16 << 10;
 /// First byte of a datagram whose message is plain MessagePack.
@@ -60,6 +68,7 @@
 /// - `CrashReports` are sent several times, to several homes; each has all that the host has seen.
 /// - `Admissions` are repeated while an owner is overloaded; without them all requests are admitted.
 /// - `TokenRequest` and `FreshnessRequest` are repeated until they are answered; tokens that are lost stay unused.
+/// - `ServiceTimes` and `Speeds` are sent anew every few seconds; until then, hosts go by what they know.
 /// - `Leaving` is not repeated. A host that misses it learns from the next response of the upstream.
 /// - `Counts`, `Cold` and `Suspect` are neither repeated nor in the store. Without `Counts`, the
 ///   grantor's request rates are too low for a time.
@@ -112,6 +121,12 @@
     TokenRequest(Vec<TokenRequest>),
     /// Response to [`Message::TokenRequest`].
     TokenIssue(Vec<TokenIssue>),
+    /// Service times that a host has observed at upstreams, for the grantor.
+    ServiceTimes(BTreeMap<UpstreamName, Observed>),
+    /// Speeds of upstreams that the grantor has learned.
+    Speeds(Speeds),
+    /// An encoded message that the receiver sends on to the other hosts of its availability zone.
+    Forward(Bytes),
     /// A host asks whether the configuration that it knows is in force.
     FreshnessRequest { number: u64 },
     /// Response to [`Message::FreshnessRequest`]: the sender knew `age_ms` ago that all operators' records before an offset
@@ -139,6 +154,9 @@
             Self::Admissions(_) => "admissions",
             Self::TokenRequest(_) => "token-request",
             Self::TokenIssue(_) => "token-issue",
+            Self::ServiceTimes(_) => "service-times",
+            Self::Speeds(_) => "speeds",
+            Self::Forward(_) => "forward",
             Self::FreshnessRequest { .. } => "freshness-request",
             Self::Freshness { .. } => "freshness",
         }
@@ -233,13 +251,22 @@
             // An ICMP error for a datagram sent earlier. Losses are tolerated, so it is ignored.
             continue;
         };
-        let message = decode(&buffer[..length]);
+        let mut message = decode(&buffer[..length]);
         if let Ok(message) = &message {
             gateway
                 .metrics
                 .count_message(Direction::Received, message.kind(), length, 1);
         }
+        if let Ok(Message::Forward(bytes)) = &message {
+            let bytes = bytes.clone();
+            for address in zone_addresses(&gateway) {
+                // As for other datagrams, a failure counts as a loss.
+                let _ = socket.send_to(&bytes, address).await;
+            }
+            message = decode(&bytes);
+        }
         match message {
+            Ok(Message::Forward(_)) => warn!(gateway.log, "datagram ignored: it is to be sent on twice"),
             Ok(Message::Counts(counts)) => record_counts(&gateway, &counts),
             Ok(Message::StepDown { epoch }) => send(&gateway, &socket, sender, &step_down(&gateway, epoch)).await,
             Ok(Message::ConfirmRequest { epoch, requested_ms }) => {
@@ -275,6 +302,8 @@
                 }
             }
             Ok(Message::TokenIssue(issues)) => apply_issues(&gateway, &issues),
+            Ok(Message::ServiceTimes(observed)) => record_observations(&gateway, &observed),
+            Ok(Message::Speeds(speeds)) => apply_speeds(&gateway, speeds),
             Ok(Message::FreshnessRequest { number }) => {
                 if let Some(reply) = answer_freshness(&gateway, number) {
                     send(&gateway, &socket, sender, &reply).await;
@@ -321,18 +350,19 @@
 
 /// Sends the messages of the outbox.
 async fn send_outbox(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut round = 0;
     loop {
         gateway.outbox.message_added.notified().await;
         let messages = std::mem::take(&mut *gateway.outbox.messages.borrow_mut());
-        let (hosts, readers) = find_addresses(&gateway);
+        let readers = reader_addresses(&gateway);
         for (recipients, message) in messages {
-            let addresses = match recipients {
-                Recipients::All => hosts.clone(),
+            let addresses = match &recipients {
+                Recipients::All => Vec::new(),
                 Recipients::Readers => readers.clone(),
                 Recipients::One(host) => gateway
                     .hosts
                     .borrow()
-                    .get(&host)
+                    .get(host)
                     .map(|host| host.peers)
                     .into_iter()
                     .collect(),
@@ -342,12 +372,27 @@
             if bytes.len() > MESSAGE_MAX_BYTES {
                 bytes = encode(&shrink(message));
             }
+            let (addresses, forwarders) = if recipients == Recipients::All {
+                plan_fan_out(&gateway, round)
+            } else {
+                (addresses, Vec::new())
+            };
+            round = round.wrapping_add(1);
             let count = addresses.len();
             gateway.metrics.count_message(Direction::Sent, kind, bytes.len(), count);
             for address in addresses {
                 // A datagram that can't be sent counts as lost; see `Message` for what a loss means.
                 let _ = socket.send_to(&bytes, address).await;
             }
+            if !forwarders.is_empty() {
+                let forward = encode(&Message::Forward(bytes.into()));
+                gateway
+                    .metrics
+                    .count_message(Direction::Sent, "forward", forward.len(), forwarders.len());
+                for address in forwarders {
+                    let _ = socket.send_to(&forward, address).await;
+                }
+            }
         }
     }
 }
@@ -361,13 +406,46 @@
     let _ = socket.send_to(&bytes, address).await;
 }
 
-/// Returns the addresses of all other hosts, and of those that are readers.
-fn find_addresses(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+/// Returns the addresses of the other hosts that are readers.
+fn reader_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
     let hosts = gateway.hosts.borrow();
     let others = |host: &&HostName| **host != gateway.settings.host;
     let address = |host: &HostName| hosts.get(host).map(|presence| presence.peers);
-    let readers = readers(gateway).iter().filter(others).filter_map(address).collect();
-    (hosts.keys().filter(others).filter_map(address).collect(), readers)
+    readers(gateway).iter().filter(others).filter_map(address).collect()
+}
+
+/// Returns the addresses of the other hosts of the own availability zone.
+fn zone_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let hosts = gateway.hosts.borrow();
+    let is_near =
+        |host: &HostName, presence: &Presence| *host != gateway.settings.host && presence.zone == gateway.settings.zone;
+    let near = hosts.iter().filter(|(host, presence)| is_near(host, presence));
+    near.map(|(_, presence)| presence.peers).collect()
+}
+
+/// Returns the hosts that a message to all is sent to directly, and those that send it on within their zone: bytes between
+/// zones are costly, and one host has not to send to hundreds. Two hosts of a zone take turns, so that the loss of one
+/// costs half of the messages until its entry is gone.
+fn plan_fan_out(gateway: &Gateway, round: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let hosts = gateway.hosts.borrow();
+    let mut zones: BTreeMap<&Zone, Vec<(&HostName, &Presence)>> = BTreeMap::new();
+    for (host, presence) in hosts.iter().filter(|(host, _)| **host != gateway.settings.host) {
+        zones.entry(&presence.zone).or_default().push((host, presence));
+    }
+    let (mut direct, mut forwarders) = (Vec::new(), Vec::new());
+    for (zone, members) in zones {
+        // Builds that don't forward announce no incarnation.
+        let forwards = members.iter().all(|(_, presence)| presence.incarnation > 0);
+        if *zone == gateway.settings.zone || members.len() < FORWARD_HOSTS_MIN || !forwards {
+            direct.extend(members.iter().map(|(_, presence)| presence.peers));
+            continue;
+        }
+        let mut ranked = members;
+        ranked.sort_by_key(|(host, presence)| (Reverse(presence.millicores), xxh3_64(host.as_str().as_bytes())));
+        ranked.truncate(FORWARDERS_PER_ZONE);
+        forwarders.push(ranked[round % ranked.len()].1.peers);
+    }
+    (direct, forwarders)
 }
 
 /// Returns a short message in place of one that is too large.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use crate::budget::{ColdLimiter, ColdQuota, Division, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
-use crate::fleet::{Fleet, Runs, Suspects, Upstream};
+use crate::fleet::{Fleet, Observations, Runs, Speeds, Suspects, Upstream};
 use crate::keys::{HostIncarnation, KeyTable};
 use crate::memory::{CallerTable, Holder, MemoryBudget};
 use crate::platform::{Bounds, Store};
@@ -49,6 +49,8 @@
 /// Time for which a host whose entry was removed counts where limits are divided. A running host announces itself again
 /// within a second or two.
 const DEPARTED_TIME: Duration = Duration::from_secs(5);
+/// Size of a request and its response from which on another zone is used only if the own one is much slower.
+const LARGE_BYTES: f64 = 3_072.0;
 /// Share of the descriptors for connections of callers, and the same share for connections to upstreams. The rest is for
 /// listeners, the store, status checks and files.
 const CONNECTIONS_SHARE: f64 = 0.45;
@@ -70,6 +72,8 @@
 pub(crate) struct RouteStats {
     /// Typical latency of a response.
     typical_ms: Option<f64>,
+    /// Typical size of a request and its response together.
+    typical_bytes: Option<f64>,
     /// Deficit of each target, for smooth weighted round robin.
     deficits: Vec<f64>,
 }
@@ -120,6 +124,10 @@
     pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
     pub(crate) grants: Grants,
     pub(crate) tenancy: Tenancy,
+    /// Service times that this host has observed since its last message to the grantor.
+    pub(crate) observations: RefCell<Observations>,
+    /// Speeds of upstreams that the grantor has learned.
+    pub(crate) speeds: RefCell<Speeds>,
     pub(crate) runs: RefCell<Runs>,
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) crash_watch: CrashWatch,
@@ -194,6 +202,8 @@
             key_counts: RefCell::default(),
             grants: Grants::default(),
             tenancy: Tenancy::default(),
+            observations: RefCell::default(),
+            speeds: RefCell::default(),
             runs: RefCell::default(),
             suspects: RefCell::default(),
             crash_watch: CrashWatch::default(),
@@ -297,6 +307,13 @@
         share_of_descriptors(self.settings.descriptor_limit())
     }
 
+    /// Returns the host that grants keys, as the newest key table states it.
+    pub(crate) fn find_grantor(&self) -> Option<HostName> {
+        let tables = self.tables.borrow();
+        let newest = tables.values().max_by_key(|table| table.epoch)?;
+        Some(newest.grantor.clone())
+    }
+
     /// Returns the number of hosts that share the limits, including this one.
     pub(crate) fn host_count(&self) -> usize {
         (self.hosts.borrow().len() + self.departed.borrow().len()).max(1)
@@ -488,6 +505,22 @@
         ms / typical_ms.max(0.1)
     }
 
+    /// Records the size of the bodies of a request and its response.
+    pub(crate) fn record_bytes(&self, route: &RouteName, bytes: u64) {
+        let mut routes = self.route_stats.borrow_mut();
+        let stats = routes.entry(route.clone()).or_default();
+        let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+        let typical = stats.typical_bytes.get_or_insert(bytes);
+        *typical += TYPICAL_LATENCY_WEIGHT * (bytes - *typical);
+    }
+
+    /// Reports whether requests of a route or their responses are large, so that sending them to another zone is costly.
+    pub(crate) fn is_large(&self, route: &Route) -> bool {
+        let routes = self.route_stats.borrow();
+        let typical = routes.get(&route.name).and_then(|stats| stats.typical_bytes);
+        route.idempotency.is_large() || typical.is_some_and(|bytes| bytes >= LARGE_BYTES)
+    }
+
     /// Chooses a target by smooth weighted round robin: the one with the largest deficit, so that each
     /// target gets exactly its share.
     pub(crate) fn choose_target(&self, route: &Route) -> Option<PoolName> {
--- a/src/gateway/tenancy.rs
+++ b/src/gateway/tenancy.rs
@@ -204,7 +204,7 @@
 async fn wait_for_token(gateway: &Gateway, tenant: &Tenant, limits: CapLimits, start: Instant) -> Result<(), Refusal> {
     let guard = WaitGuard::new(gateway, &tenant.name);
     let end = start + TOKEN_WAIT_MAX;
-    while find_keeper(gateway).is_some() && Instant::now() < end {
+    while gateway.find_grantor().is_some() && Instant::now() < end {
         gateway.tenancy.ask_due.notify_one();
         let retry_at = (Instant::now() + TOKEN_RETRY_DELAY).min(end);
         loop {
@@ -221,7 +221,7 @@
     }
     drop(guard);
     let bounds = &gateway.bounds;
-    let rate = if find_keeper(gateway).is_some() {
+    let rate = if gateway.find_grantor().is_some() {
         let tolerance =
             (limits.rate * bounds.cap_window.as_secs_f64() + limits.burst) * bounds.cap_overage + bounds.cap_extra;
         tolerance * SPARE_SHARE / bounds.cap_window.as_secs_f64().max(1.0)
@@ -240,18 +240,11 @@
     Err(Refusal::not_run(Reason::CapUnknown, Some(retry_after)))
 }
 
-/// Returns the host that keeps the caps: the newest grantor of keys.
-fn find_keeper(gateway: &Gateway) -> Option<HostName> {
-    let tables = gateway.tables.borrow();
-    let newest = tables.values().max_by_key(|table| table.epoch)?;
-    Some(newest.grantor.clone())
-}
-
 async fn fetch_tokens(gateway: Rc<Gateway>) {
     loop {
         gateway.tenancy.ask_due.notified().await;
         let requests = collect_requests(&gateway);
-        let keeper = find_keeper(&gateway);
+        let keeper = gateway.find_grantor();
         if let Some(keeper) = keeper.filter(|_| !requests.is_empty()) {
             if keeper == gateway.settings.host {
                 if let Some(issues) = issue_tokens(&gateway, &requests) {
--- a/src/gateway/tests/grants.rs
+++ b/src/gateway/tests/grants.rs
@@ -72,7 +72,10 @@
     let pool_grantor = PoolGrantor {
         grantor: Grantor::take_over(now, host, EPOCH, table, timing),
         rates: KeyRates::default(),
+        speeds: None,
         last_rebalance: now,
+        last_even: now,
+        last_watch: now,
         admissions: Admissions::default(),
     };
     *gateway.grants.active.borrow_mut() = Some(GrantorState {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -147,6 +147,7 @@
                 announcement.phase,
                 announcement.incarnation,
             );
+            let zone = announcement.zone.clone();
             let cold_ms = u64::try_from(announcement.cold_left.as_millis()).unwrap_or(u64::MAX);
             let is_restart = fleet
                 .get(&name)
@@ -158,7 +159,7 @@
             if !matches!(change, Change::Joined | Change::Updated) {
                 return None;
             }
-            info!(gateway.log, "upstream known"; "upstream" => %name, "phase" => ?phase, "born" => incarnation,
+            info!(gateway.log, "upstream known"; "upstream" => %name, "zone" => %zone, "phase" => ?phase, "born" => incarnation,
                 "cold_ms" => cold_ms, "offset" => record.offset.0);
             Some(Update::Record(record.clone()))
         }
--- a/src/keys/grantor.rs
+++ b/src/keys/grantor.rs
@@ -23,6 +23,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time between two probes of an upstream that doesn't answer grants.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// Least time between two saves that only state which assignments have become ready. Each save goes to all hosts.
+const READY_SAVE_GAP: Duration = Duration::from_millis(150);
 /// Part of the lease duration that is added for the clock error of an upstream, as a divisor: the protocol
 /// states an error of 2%, and 1/33 leaves a margin.
 const CLOCK_ERROR_DIVISOR: u32 = 33;
@@ -133,8 +135,12 @@
     /// Highest fence of the last saved table.
     saved_fence: u64,
     is_saving: bool,
-    /// Whether the table has changes that no save contains yet.
+    /// Whether the table has changes that no save contains yet and that grants wait for.
     needs_save: bool,
+    /// Whether assignments have become ready since the last save.
+    has_ready_changes: bool,
+    /// When the last save started.
+    last_save: Option<Instant>,
     /// Last time at which this grantor or an earlier one may have sent a grant to each upstream.
     last_sent: BTreeMap<Holder, Instant>,
     /// Fence and keys of the grant calls in flight to each upstream: a busy host may hand their bytes to the network
@@ -195,6 +201,8 @@
             saving_witnesses: BTreeSet::new(),
             is_saving: false,
             needs_save: true,
+            has_ready_changes: false,
+            last_save: None,
             last_sent,
             in_flight: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -241,6 +249,11 @@
             && (!self.is_saving || confirmations.permit_grants(now, &self.saving_witnesses))
     }
 
+    /// Reports whether the store has all assignments of the table.
+    pub(crate) fn is_saved(&self) -> bool {
+        !self.needs_save && !self.is_saving && self.saved_fence >= self.table.last_fence
+    }
+
     /// Changes the owners of keys. The change takes effect once it is saved.
     pub(crate) fn apply(&mut self, moves: &[Move]) {
         for next in moves {
@@ -278,8 +291,12 @@
             self.probe_unresponsive(now, &is_known, &mut actions);
         }
         self.prune_progress();
-        if self.needs_save && !self.is_saving {
+        // After many moves, assignments become ready one by one.
+        let is_ready_save_due = self.has_ready_changes && self.last_save.is_none_or(|at| now >= at + READY_SAVE_GAP);
+        if (self.needs_save || is_ready_save_due) && !self.is_saving {
             self.needs_save = false;
+            self.has_ready_changes = false;
+            self.last_save = Some(now);
             self.is_saving = true;
             self.saving_witnesses = self.table.witnesses.clone();
             self.table.predecessors = self.predecessors.still_active(now);
@@ -439,7 +456,7 @@
                 if !assignment.ready {
                     assignment.ready = true;
                     assignment.previous.clear();
-                    self.needs_save = true;
+                    self.has_ready_changes = true;
                 }
             }
             GrantOutcome::Unknown => progress.retry_at = Some(now + RETRY_DELAY),
--- a/src/keys/plan.rs
+++ b/src/keys/plan.rs
@@ -19,16 +19,19 @@
 const EMPTY_RATIO: f64 = 0.1;
 /// Headroom of an upstream, as a share of its load at mean usage, up to which it counts as full.
 const HEADROOM_SHARE_MIN: f64 = 0.01;
-/// Largest number of upstreams, by descending usage, from which a move is tried: the first may own a single key,
-/// which can't be split.
-const SOURCES_MAX: usize = 4;
 /// Smallest and largest load of a range that moves, relative to the wanted load.
 const PIECE_LOAD_MIN: f64 = 0.1;
 const PIECE_LOAD_MAX: f64 = 1.5;
 /// Capacity of an upstream, relative to that of the owner, above which a hot key moves to it.
 const HOT_KEY_CAPACITY_RATIO: f64 = 1.4;
-/// Largest number of moves in one round of rebalancing.
-const MOVES_MAX: usize = 3;
+/// Usage, and its ratio to the mean, above which an upstream is overloaded: its requests wait longer than they run.
+const OVERLOAD_USAGE: f64 = 0.9;
+const OVERLOAD_RATIO: f64 = 1.5;
+/// Largest number of moves in one round that only even out the loads. Each move delays the requests for its keys until
+/// those that run have ended.
+const EVEN_MOVES_MAX: usize = 3;
+/// Number of candidates for each move in one round from overloaded upstreams.
+const CANDIDATES_PER_MOVE: usize = 6;
 
 /// An upstream that may own keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -186,63 +189,162 @@
     moves
 }
 
-/// Plans rebalancing moves, from upstreams with high usage to those with headroom.
-pub(crate) fn plan_balance(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Vec<Move> {
-    let mut table = table.clone();
+/// Plans rebalancing moves, from upstreams with high usage to those with headroom. `evens_out` permits a few moves from
+/// upstreams that are only above the others.
+///
+/// A heat of many keys near one another belongs to one owner and needs many, so a round has as many moves from overloaded
+/// upstreams as the pool's size allows. Each move is planned on the loads that the moves before it leave.
+pub(crate) fn plan_balance(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates, evens_out: bool) -> Vec<Move> {
+    let mut balance = Balance::new(table, candidates, rates);
     let mut moves = Vec::new();
-    while moves.len() < MOVES_MAX {
-        let Some(next) = plan_move(&table, candidates, rates) else {
-            break;
-        };
-        table.assign(next.range, Some(&next.owner));
+    while evens_out
+        && moves.len() < EVEN_MOVES_MAX
+        && let Some(next) = balance.next_move(Cause::Imbalance)
+    {
+        moves.push(next);
+    }
+    balance.exhausted.clear();
+    while moves.len() < candidates.len() / CANDIDATES_PER_MOVE
+        && let Some(next) = balance.next_move(Cause::Overload)
+    {
         moves.push(next);
     }
     moves
 }
 
-/// Plans the next rebalancing move, if one is needed.
-fn plan_move(table: &KeyTable, candidates: &[Candidate], rates: &KeyRates) -> Option<Move> {
-    let pool = measure_loads(table, candidates, rates);
-    let mean = pool.mean_usage(rates.load(KeyRange::ALL));
-    let target = pool.most_headroom(mean)?;
-    let is_empty = pool.usage(target) < mean * EMPTY_RATIO;
-    let mut sources: Vec<usize> = (0..candidates.len()).filter(|&index| index != target).collect();
-    sources.sort_by(|&a, &b| pool.excess(b, mean).total_cmp(&pool.excess(a, mean)));
-    sources.truncate(SOURCES_MAX);
-    sources.into_iter().find_map(|from| {
-        let limit = candidates[from].limit;
-        let is_over_limit = limit.is_some_and(|limit| pool.loads[from] > limit * IMBALANCE_RATIO);
-        let is_full = pool.usage(from) > BUSY_USAGE.max(mean * IMBALANCE_RATIO);
-        if !(is_full || is_empty || is_over_limit) {
-            return None;
+/// Why keys move away from an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// It has more load than others, or another one has almost none.
+    Imbalance,
+    /// Its requests wait.
+    Overload,
+}
+
+/// Loads and parts of a pool while a round of moves is planned.
+struct Balance<'a> {
+    pool: PoolLoads<'a>,
+    rates: &'a KeyRates,
+    /// Parts of each candidate that may move. Those that are on their way to it count in its load only.
+    parts: Vec<Vec<KeyRange>>,
+    /// Usage at which all load is spread evenly.
+    mean: f64,
+    /// Candidates from which no further part can move in this round.
+    exhausted: BTreeSet<usize>,
+}
+
+impl<'a> Balance<'a> {
+    fn new(table: &KeyTable, candidates: &'a [Candidate], rates: &'a KeyRates) -> Self {
+        let pool = measure_loads(table, candidates, rates);
+        let indices: BTreeMap<&Holder, usize> = candidates
+            .iter()
+            .enumerate()
+            .map(|(index, c)| (&c.holder, index))
+            .collect();
+        let mut parts = vec![Vec::new(); candidates.len()];
+        for assignment in table.assignments.iter().filter(|assignment| assignment.ready) {
+            if let Some(&index) = assignment.owner.as_ref().and_then(|owner| indices.get(owner)) {
+                parts[index].push(assignment.range);
+            }
+        }
+        Self {
+            mean: pool.mean_usage(rates.load(KeyRange::ALL)),
+            pool,
+            rates,
+            parts,
+            exhausted: BTreeSet::new(),
+        }
+    }
+
+    /// Plans the next move, if one is needed.
+    fn next_move(&mut self, cause: Cause) -> Option<Move> {
+        let target = self.pool.most_headroom(self.mean)?;
+        let is_empty = cause == Cause::Imbalance && self.pool.usage(target) < self.mean * EMPTY_RATIO;
+        loop {
+            let sources = (0..self.parts.len()).filter(|&from| from != target && !self.exhausted.contains(&from));
+            let from = sources
+                .filter(|&from| is_empty || self.is_source(from, cause))
+                .max_by(|&a, &b| self.excess(a).total_cmp(&self.excess(b)))?;
+            let Some((range, to)) = self.choose_keys(from, target, is_empty) else {
+                self.exhausted.insert(from);
+                continue;
+            };
+            return Some(self.record_move(from, range, to));
+        }
+    }
+
+    fn excess(&self, index: usize) -> f64 {
+        self.pool.excess(index, self.mean)
+    }
+
+    fn is_source(&self, index: usize, cause: Cause) -> bool {
+        let usage = self.pool.usage(index);
+        match cause {
+            Cause::Imbalance => {
+                let limit = self.pool.candidates[index].limit;
+                let is_over_limit = limit.is_some_and(|limit| self.pool.loads[index] > limit * IMBALANCE_RATIO);
+                is_over_limit || usage > BUSY_USAGE.max(self.mean * IMBALANCE_RATIO)
+            }
+            Cause::Overload => usage > OVERLOAD_USAGE.max(self.mean * OVERLOAD_RATIO),
         }
-        let excess = -pool.headroom(from, mean);
-        let headroom = pool.headroom(target, mean);
+    }
+
+    /// Chooses keys of a source and the candidate that they move to: the target, or another one for a single hot key.
+    fn choose_keys(&self, from: usize, target: usize, is_empty: bool) -> Option<(KeyRange, usize)> {
+        let excess = -self.pool.headroom(from, self.mean);
+        let headroom = self.pool.headroom(target, self.mean);
         // An almost empty upstream is filled up to the mean, even if the source then falls below the mean.
         let wanted = if is_empty { headroom } else { excess.min(headroom) };
-        let piece = if wanted > mean * candidates[target].capacity * EMPTY_RATIO {
-            find_piece(table, rates, &candidates[from].holder, wanted)
-        } else {
-            None
-        };
-        let to_target = piece.map(|range| (range, target));
-        let (range, to) = to_target.or_else(|| find_hot_key(table, rates, &pool, from))?;
-        Some(Move {
+        let is_worthwhile = wanted > self.mean * self.pool.candidates[target].capacity * EMPTY_RATIO;
+        let piece = is_worthwhile
+            .then(|| find_piece(&self.parts[from], self.rates, wanted))
+            .flatten();
+        piece.map(|range| (range, target)).or_else(|| self.find_hot_key(from))
+    }
+
+    fn record_move(&mut self, from: usize, range: KeyRange, to: usize) -> Move {
+        let load = self.rates.load(range);
+        self.pool.loads[from] -= load;
+        self.pool.loads[to] += load;
+        let moved = |part: &KeyRange| part.overlap(range).is_some();
+        if let Some(index) = self.parts[from].iter().position(moved) {
+            let part = self.parts[from].remove(index);
+            if part.first < range.first {
+                self.parts[from].push(KeyRange {
+                    first: part.first,
+                    last: range.first - 1,
+                });
+            }
+            if range.last < part.last {
+                self.parts[from].push(KeyRange {
+                    first: range.last + 1,
+                    last: part.last,
+                });
+            }
+        }
+        Move {
             range,
-            owner: candidates[to].holder.clone(),
-        })
-    })
+            owner: self.pool.candidates[to].holder.clone(),
+        }
+    }
+
+    /// Returns a single key whose load exceeds its owner's capacity, and a warm upstream of clearly larger capacity.
+    fn find_hot_key(&self, from: usize) -> Option<(KeyRange, usize)> {
+        let candidates = self.pool.candidates;
+        let is_hot =
+            |range: &&KeyRange| range.first == range.last && self.rates.load(**range) > candidates[from].capacity;
+        let hot = self.parts[from].iter().filter(is_hot);
+        let hot = hot.max_by(|a, b| self.rates.load(**a).total_cmp(&self.rates.load(**b)))?;
+        let warm = (0..candidates.len()).filter(|&index| candidates[index].limit.is_none());
+        let best = warm.max_by(|&a, &b| candidates[a].capacity.total_cmp(&candidates[b].capacity))?;
+        let is_better = candidates[best].capacity > candidates[from].capacity * HOT_KEY_CAPACITY_RATIO;
+        is_better.then_some((*hot, best))
+    }
 }
 
-/// Returns keys of an owner with about the wanted load, at either end of one of its assignments.
-fn find_piece(table: &KeyTable, rates: &KeyRates, holder: &Holder, wanted: f64) -> Option<KeyRange> {
-    let owned = |assignment: &&Assignment| assignment.ready && assignment.owner.as_ref() == Some(holder);
-    let mut ranges: Vec<KeyRange> = table
-        .assignments
-        .iter()
-        .filter(owned)
-        .map(|assignment| assignment.range)
-        .collect();
+/// Returns keys with about the wanted load, at either end of one of the parts of an owner.
+fn find_piece(parts: &[KeyRange], rates: &KeyRates, wanted: f64) -> Option<KeyRange> {
+    let mut ranges = parts.to_vec();
     ranges.sort_by(|a, b| rates.load(*b).total_cmp(&rates.load(*a)));
     let ends = ranges
         .into_iter()
@@ -251,21 +353,3 @@
     let fits = |range: &KeyRange| (wanted * PIECE_LOAD_MIN..=wanted * PIECE_LOAD_MAX).contains(&rates.load(*range));
     ends.into_iter().find(fits)
 }
-
-/// Returns a single key whose load exceeds its owner's capacity, and a warm upstream of clearly larger capacity.
-fn find_hot_key(table: &KeyTable, rates: &KeyRates, pool: &PoolLoads<'_>, from: usize) -> Option<(KeyRange, usize)> {
-    let candidates = pool.candidates;
-    let holder = &candidates[from].holder;
-    let owned = table
-        .assignments
-        .iter()
-        .filter(|assignment| assignment.ready && assignment.owner.as_ref() == Some(holder));
-    let hot = owned.filter(|assignment| {
-        assignment.range.first == assignment.range.last && rates.load(assignment.range) > candidates[from].capacity
-    });
-    let hot = hot.max_by(|a, b| rates.load(a.range).total_cmp(&rates.load(b.range)))?;
-    let warm = (0..candidates.len()).filter(|&index| candidates[index].limit.is_none());
-    let best = warm.max_by(|&a, &b| candidates[a].capacity.total_cmp(&candidates[b].capacity))?;
-    let is_better = candidates[best].capacity > candidates[from].capacity * HOT_KEY_CAPACITY_RATIO;
-    is_better.then_some((hot.range, best))
-}
--- a/src/keys/rates.rs
+++ b/src/keys/rates.rs
@@ -10,6 +10,14 @@
 
 /// Weight of the newest counts in the moving average, if they cover one second.
 const NEW_WEIGHT_PER_S: f64 = 0.5;
+/// The same for the average that shows a sudden heat.
+const HEAT_WEIGHT_PER_S: f64 = 0.94;
+/// Number of standard deviations by which the counts of a key have to exceed those expected to show a heat.
+const HEAT_DEVIATIONS: f64 = 3.0;
+/// Requests in addition, as the deviation of small counts means little.
+const HEAT_COUNT_MIN: f64 = 3.0;
+/// Time in which the fast average counts requests, about its time constant.
+const HEAT_SECONDS: f64 = 0.35;
 /// Load that is added evenly to all keys, as a share of the total load: keys without recent requests
 /// may get some.
 const BASE_LOAD_SHARE: f64 = 0.05;
@@ -29,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct KeyRates {
     rates: Vec<f64>,
+    /// Faster averages.
+    heats: Vec<f64>,
     /// Counts since the last call of [`KeyRates::advance`].
     pending: BTreeMap<u16, u32>,
     /// Loads of all keys below each key, including the load that is added to all keys.
@@ -39,6 +49,7 @@
     fn default() -> Self {
         let mut rates = Self {
             rates: vec![0.0; KEYS],
+            heats: vec![0.0; KEYS],
             pending: BTreeMap::new(),
             prefix_sums: vec![0.0; KEYS + 1],
         };
@@ -58,11 +69,22 @@
     pub(crate) fn advance(&mut self, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(0.001);
         let weight = 1.0 - (1.0 - NEW_WEIGHT_PER_S).powf(seconds);
-        for rate in &mut self.rates {
+        let heat_weight = 1.0 - (1.0 - HEAT_WEIGHT_PER_S).powf(seconds);
+        for (rate, heat) in self.rates.iter_mut().zip(&mut self.heats) {
             *rate *= 1.0 - weight;
+            *heat *= 1.0 - heat_weight;
         }
         for (key, count) in std::mem::take(&mut self.pending) {
-            self.rates[usize::from(key)] += weight * f64::from(count) / seconds;
+            let key = usize::from(key);
+            let rate = f64::from(count) / seconds;
+            self.rates[key] += weight * rate;
+            self.heats[key] += heat_weight * rate;
+            // A heat is over before the slow average shows it.
+            let expected = self.rates[key] * HEAT_SECONDS;
+            let significant = expected + HEAT_DEVIATIONS * expected.sqrt() + HEAT_COUNT_MIN;
+            if self.heats[key] * HEAT_SECONDS > significant {
+                self.rates[key] = self.heats[key];
+            }
         }
         self.update_sums();
     }
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -139,7 +139,7 @@
             .assignments
             .iter_mut()
             .for_each(|assignment| assignment.ready = true);
-        let moves = plan_balance(&table, &candidates, &rates);
+        let moves = plan_balance(&table, &candidates, &rates, true);
         if moves.is_empty() {
             break;
         }
@@ -180,7 +180,7 @@
             .assignments
             .iter_mut()
             .for_each(|assignment| assignment.ready = true);
-        let moves = plan_balance(&table, &candidates, &rates);
+        let moves = plan_balance(&table, &candidates, &rates, true);
         if moves.is_empty() {
             break;
         }
@@ -243,7 +243,7 @@
             .assignments
             .iter_mut()
             .for_each(|assignment| assignment.ready = true);
-        for next in plan_balance(&table, &candidates, &rates) {
+        for next in plan_balance(&table, &candidates, &rates, true) {
             table.assign(next.range, Some(&next.owner));
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,6 +41,8 @@
 /// grantor; longer than the wait of the last reader. Such a host counts as reaching the store only
 /// while its own last read is more recent than this.
 const ELECTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after a relayed read in which the store counts as serving other hosts: two periods between reads.
+const RELAYED_TIME: Duration = Duration::from_millis(1_300);
 /// Backoff after the first failed read; multiplied by `BACKOFF_FACTOR` after each further one.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 const BACKOFF_FACTOR: u32 = 2;
@@ -169,6 +171,8 @@
     as_of: Option<Instant>,
     /// When a relayed read was last received; initially, when this host started.
     last_relayed: Instant,
+    /// A read has been relayed to this host.
+    has_relay: bool,
     /// Backoff after the next failure; zero while reads succeed.
     backoff: Duration,
     /// Jitter of this host, between 0 and 1.
@@ -180,6 +184,7 @@
         Self {
             as_of: None,
             last_relayed: now,
+            has_relay: false,
             backoff: Duration::ZERO,
             jitter,
         }
@@ -195,9 +200,15 @@
     pub(crate) fn record_relayed(&mut self, now: Instant) {
         self.as_of = Some(now);
         self.last_relayed = now;
+        self.has_relay = true;
         self.backoff = Duration::ZERO;
     }
 
+    /// Reports whether a read of another host was relayed a short time ago.
+    pub(crate) fn is_relayed(&self, now: Instant) -> bool {
+        self.has_relay && now < self.last_relayed + RELAYED_TIME
+    }
+
     /// Returns when a host reads next, or `None` if it must read at once. Only readers have a rank.
     pub(crate) fn due(&self, rank: Option<usize>, is_degraded: bool) -> Option<Instant> {
         let period = if is_degraded { READ_PERIOD_DEGRADED } else { READ_PERIOD };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,6 +26,9 @@
         /// File descriptors that the process may open.
         #[serde(default)]
         pub(crate) descriptors: Option<usize>,
+        /// Whether the gateway learns how much each upstream takes well, and places requests and keys by it.
+        #[serde(default)]
+        pub(crate) learned_capacity: Option<bool>,
         /// Address of the platform's store.
         pub(crate) store: SocketAddr,
         /// Bounds of the deployment, each as `name=value`.
@@ -70,6 +73,11 @@
         self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1_000_000)
     }
 
+    /// Reports whether the gateway learns how much each upstream takes well.
+    pub(crate) fn learns_capacity(&self) -> bool {
+        self.learned_capacity.unwrap_or(true)
+    }
+
     /// Returns the number of descriptors that the process may open.
     pub(crate) fn descriptor_limit(&self) -> usize {
         self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
