Admit urgent and returning requests first while owners are overloaded

Cause: a share of the requests for an overloaded owner was admitted whatever their urgency, and a caller that came back after a refusal was refused again like a new one. Change: each host fills the share that the grantor states with the most urgent requests of its own mix, returning ones first within a priority, and at least 0.3 of the share of each class (budget/share.rs). Owners are asked for their queues at the same time. Tests replay a heat of 200 keys, the noise of a calm load, overload by two kinds, and the learning of speeds.

--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod limit;
 mod retry;
+mod share;
 
 #[cfg(test)]
 mod tests;
@@ -13,3 +14,4 @@
 pub(crate) use cold::{ColdLimiter, ColdQuota};
 pub(crate) use limit::{Division, RateLimiter};
 pub(crate) use retry::{RetryBudget, RetryLimits};
+pub(crate) use share::{ClassMix, RequestClass};
--- a/src/budget/tests.rs
+++ b/src/budget/tests.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-use super::{ColdLimiter, ColdQuota, Division, RateLimiter, RetryBudget, RetryLimits};
+use super::{ClassMix, ColdLimiter, ColdQuota, Division, RateLimiter, RequestClass, RetryBudget, RetryLimits};
 use crate::types::HostName;
 
 const LIMITS: RetryLimits = RetryLimits {
@@ -146,3 +146,40 @@
     assert!(!budget.try_take(start + Duration::from_secs(5), &LIMITS, 9));
     assert!(budget.try_take(start + Duration::from_secs(11), &LIMITS, 9));
 }
+
+/// Replays an overload by two kinds of requests, of which the more urgent one alone fits the share. Guards against a less
+/// urgent kind that takes the room of a more urgent one, or that is refused altogether, and against admitting more than
+/// the share.
+#[test]
+fn urgent_requests_fill_a_share_first() {
+    let start = Instant::now();
+    let class = |priority| RequestClass {
+        priority,
+        is_first: true,
+    };
+    let mut mix = ClassMix::new(start);
+    for number in 0..400_u64 {
+        let now = start + Duration::from_millis(10 * number);
+        mix.record(now, class(if number % 4 == 0 { 1 } else { 2 }));
+    }
+    let (urgent, other) = (mix.probability(class(1), 0.5), mix.probability(class(2), 0.5));
+    assert!(urgent > 0.99, "{urgent}");
+    assert!((0.3..0.4).contains(&other), "{other}");
+    assert!((urgent * 0.25 + other * 0.75 - 0.5).abs() < 0.02);
+    let scarce = mix.probability(class(2), 0.2);
+    assert!(scarce >= 0.2 * 0.25, "a quarter of the mean at least: {scarce}");
+    assert!(mix.probability(class(0), 0.5) <= 0.5, "an unknown class gets the share");
+}
+
+/// Guards against callers that come back after a refusal and are refused again for the sake of new ones.
+#[test]
+fn returning_requests_precede_first_ones_of_their_priority() {
+    let start = Instant::now();
+    let class = |is_first| RequestClass { priority: 1, is_first };
+    let mut mix = ClassMix::new(start);
+    for number in 0..300 {
+        mix.record(start, class(number % 3 != 0));
+    }
+    assert!(mix.probability(class(false), 0.4) > 0.99);
+    assert!(mix.probability(class(true), 0.4) < 0.2);
+}
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,6 @@
 mod connected;
 mod sharing;
+mod speeds;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -119,7 +119,7 @@
                 if upstream.is_some_and(|u| !gateway.admits_limited(now, u)) {
                     return Err(build_refusal(gateway, ctx, Reason::UpstreamLimited));
                 }
-                if ctx.tried.is_empty() && !gateway.admits_by_share(now, &owner) {
+                if ctx.tried.is_empty() && !gateway.admits_by_share(now, &ctx.pool, &owner, ctx.class) {
                     return Err(Refusal::not_run(
                         Reason::OwnerOverloaded,
                         Some(draw_retry_after(gateway, OVERLOAD_RETRY_AFTER_MS)),
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -9,7 +9,7 @@
 
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
 use super::connect::{Endpoint, SessionNumber};
@@ -396,12 +396,15 @@
 
 /// Asks owners for their queues and tells all hosts which share of the requests for each of them to admit.
 async fn update_admissions(gateway: Rc<Gateway>, epoch: u64, pool: PoolName, watched: Vec<WatchedOwner>) {
-    let mut reports = Vec::new();
-    for owner in &watched {
-        if let Some(report) = request_load(&gateway, &pool, &owner.holder).await {
-            reports.push((owner, report));
-        }
+    let mut questions = JoinSet::new();
+    for owner in watched.iter().cloned() {
+        let (gateway, pool) = (Rc::clone(&gateway), pool.clone());
+        questions.spawn_local(async move {
+            let report = request_load(&gateway, &pool, &owner.holder).await;
+            report.map(|report| (owner, report))
+        });
     }
+    let reports = questions.join_all().await.into_iter().flatten();
     let mut shares = BTreeMap::new();
     if let Some(active) = gateway
         .grants
@@ -413,7 +416,7 @@
     {
         pool.admissions.retain(&watched);
         for (owner, report) in reports {
-            pool.admissions.update(owner, report);
+            pool.admissions.update(&owner, report);
         }
         shares.extend(
             pool.admissions
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,6 +21,7 @@
 use super::framing::Caller;
 use super::state::Gateway;
 use super::tenancy::{identify, return_token, set_tenant_headers, take_token};
+use crate::budget::RequestClass;
 use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
 use crate::memory::Holder;
@@ -54,6 +55,8 @@
     pub(super) route: Route,
     pub(super) pool: PoolName,
     pub(super) key: Option<u16>,
+    /// Urgency of the request.
+    pub(super) class: RequestClass,
     /// Tenant that holds the caller's credential.
     pub(super) tenant: Option<Rc<Tenant>>,
     pub(super) head: Parts,
@@ -272,8 +275,11 @@
         return Err(refuse_suspect());
     }
     gateway.record_request(arrived, &pool);
+    let priority = tenant.as_ref().and_then(|tenant| tenant.priority);
+    let class = gateway.classify(&route, priority.unwrap_or(route.priority), caller_timeout);
     if let Some(key) = key {
         gateway.count_key_request(&pool, key);
+        gateway.record_class(arrived, &pool, class);
     }
     Ok(RequestContext {
         gateway: Rc::clone(gateway),
@@ -284,6 +290,7 @@
         route,
         pool,
         key,
+        class,
         tenant,
         head,
         body,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,7 +21,7 @@
 use super::peers::Outbox;
 use super::stop::ShutdownSchedule;
 use super::tenancy::{Tenancy, accepts_credentials};
-use crate::budget::{ColdLimiter, ColdQuota, Division, RetryBudget, RetryLimits};
+use crate::budget::{ClassMix, ColdLimiter, ColdQuota, Division, RequestClass, RetryBudget, RetryLimits};
 use crate::catalog::{Catalog, Pool, Route};
 use crate::counts::ProcessCounts;
 use crate::fleet::{Fleet, Observations, Runs, Speeds, Suspects, Upstream};
@@ -49,6 +49,8 @@
 /// Time for which a host whose entry was removed counts where limits are divided. A running host announces itself again
 /// within a second or two.
 const DEPARTED_TIME: Duration = Duration::from_secs(5);
+/// Part of the longest time that the callers of a route wait, below which a caller has come back after a refusal.
+const FIRST_TIMEOUT_SHARE: f64 = 0.97;
 /// Size of a request and its response from which on another zone is used only if the own one is much slower.
 const LARGE_BYTES: f64 = 3_072.0;
 /// Share of the descriptors for connections of callers, and the same share for connections to upstreams. The rest is for
@@ -72,6 +74,8 @@
 pub(crate) struct RouteStats {
     /// Typical latency of a response.
     typical_ms: Option<f64>,
+    /// Longest time that callers wait.
+    longest_timeout: Duration,
     /// Typical size of a request and its response together.
     typical_bytes: Option<f64>,
     /// Deficit of each target, for smooth weighted round robin.
@@ -120,6 +124,8 @@
     /// This host's quotas at cold upstreams, as of the current hosts and configuration.
     cold_quotas: RefCell<BTreeMap<UpstreamName, ColdQuota>>,
     pub(crate) route_stats: RefCell<BTreeMap<RouteName, RouteStats>>,
+    /// Recent requests of each sharded pool by class.
+    class_mixes: RefCell<BTreeMap<PoolName, ClassMix>>,
     /// Requests by pool and key since the last message to the grantor.
     pub(crate) key_counts: RefCell<BTreeMap<PoolName, BTreeMap<u16, u32>>>,
     pub(crate) grants: Grants,
@@ -199,6 +205,7 @@
             cold_quotas: RefCell::default(),
             admissions: RefCell::default(),
             route_stats: RefCell::default(),
+            class_mixes: RefCell::default(),
             key_counts: RefCell::default(),
             grants: Grants::default(),
             tenancy: Tenancy::default(),
@@ -411,6 +418,26 @@
             .map_or(quota.0 > 0, |limiter| limiter.admits(now, quota))
     }
 
+    /// Returns the class of a request of a route: one whose caller waits clearly less long than others do comes back after a
+    /// refusal.
+    pub(crate) fn classify(&self, route: &Route, priority: u8, caller_timeout: Option<Duration>) -> RequestClass {
+        let mut routes = self.route_stats.borrow_mut();
+        let stats = routes.entry(route.name.clone()).or_default();
+        let timeout = caller_timeout.unwrap_or(route.timeout);
+        stats.longest_timeout = stats.longest_timeout.max(timeout);
+        RequestClass {
+            priority,
+            is_first: timeout >= stats.longest_timeout.mul_f64(FIRST_TIMEOUT_SHARE),
+        }
+    }
+
+    /// Counts a request of a class in the mix of its pool.
+    pub(crate) fn record_class(&self, now: Instant, pool: &PoolName, class: RequestClass) {
+        let mut mixes = self.class_mixes.borrow_mut();
+        let mix = mixes.entry(pool.clone()).or_insert_with(|| ClassMix::new(now));
+        mix.record(now, class);
+    }
+
     /// Records which shares of the requests for overloaded owners of keys are to be admitted for a time.
     pub(crate) fn record_admissions(&self, now: Instant, shares: &BTreeMap<UpstreamName, f64>) {
         let mut admissions = self.admissions.borrow_mut();
@@ -423,13 +450,24 @@
     }
 
     /// Decides at random whether a request for an owner of keys is admitted; all are unless the owner is overloaded.
-    pub(crate) fn admits_by_share(&self, now: Instant, owner: &UpstreamName) -> bool {
+    pub(crate) fn admits_by_share(
+        &self,
+        now: Instant,
+        pool: &PoolName,
+        owner: &UpstreamName,
+        class: RequestClass,
+    ) -> bool {
         let admissions = self.admissions.borrow();
         let share = admissions
             .get(owner)
             .filter(|(_, end)| now < *end)
             .map(|(share, _)| *share);
-        share.is_none_or(|share| self.rng.borrow_mut().random_bool(share.clamp(0.0, 1.0)))
+        let Some(share) = share else {
+            return true;
+        };
+        let mixes = self.class_mixes.borrow();
+        let probability = mixes.get(pool).map_or(share, |mix| mix.probability(class, share));
+        self.rng.borrow_mut().random_bool(probability.clamp(0.0, 1.0))
     }
 
     fn cold_quota(&self, pool: &Pool, upstream: &UpstreamName) -> ColdQuota {
--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio::time::Instant;
 
 use super::succession::STORE_OUTAGE_LIMIT;
@@ -160,6 +162,80 @@
     assert!(load("a") < mean * 1.5, "{}", load("a"));
 }
 
+/// Replays a heat of 200 keys near one another that begins within a second, in a pool of 120 owners. Guards against a heat
+/// that is over before its keys have owners with room: a round had three moves.
+#[test]
+fn heat_of_many_keys_is_spread_within_a_second() {
+    let round = Duration::from_millis(250);
+    let mut rates = KeyRates::default();
+    let calm: BTreeMap<u16, u32> = (0..600).map(|key| (key * 109, 1)).collect();
+    for _ in 0..40 {
+        rates.record_counts(&calm);
+        rates.advance(Duration::from_secs(1));
+    }
+    let mut table = table();
+    let mut candidates: Vec<Candidate> = (0..120).map(|number| candidate(&format!("u{number:03}"))).collect();
+    candidates.iter_mut().for_each(|candidate| candidate.capacity = 24.0);
+    for next in plan_orphans(&table, &candidates, &rates) {
+        table.assign(next.range, Some(&next.owner));
+    }
+    // 800 requests a second in addition, forty times what an owner has.
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    for _ in 0..4 {
+        let mut counts = BTreeMap::new();
+        for _ in 0..200 {
+            *counts.entry(30_000 + rng.random_range(0..200_u16)).or_default() += 1;
+        }
+        (0..150).for_each(|_| *counts.entry(rng.random()).or_default() += 1);
+        rates.record_counts(&counts);
+        rates.advance(round);
+        for assignment in &mut table.assignments {
+            assignment.ready = true;
+        }
+        for next in plan_balance(&table, &candidates, &rates, false) {
+            table.assign(next.range, Some(&next.owner));
+        }
+    }
+    let owners: BTreeSet<&Holder> = (30_000..30_200)
+        .filter_map(|key| table.find(key).owner.as_ref())
+        .collect();
+    assert!(owners.len() >= 20, "{} owners", owners.len());
+    let load = |owner: &Holder| {
+        let owned = table.assignments.iter().filter(|a| a.owner.as_ref() == Some(owner));
+        owned.map(|a| rates.load(a.range)).sum::<f64>()
+    };
+    let most = owners.iter().map(|owner| load(owner)).fold(0.0, f64::max);
+    let mean = rates.load(KeyRange::ALL) / 120.0;
+    assert!(most < mean * 3.0, "{most}, on average {mean}");
+}
+
+/// Guards against moves for the noise in the counts of a calm load, each of which delays requests.
+#[test]
+fn calm_load_moves_few_keys() {
+    let mut rng = Pcg64Mcg::seed_from_u64(4);
+    let mut rates = KeyRates::default();
+    let mut table = table();
+    let candidates: Vec<Candidate> = (0..120).map(|number| candidate(&format!("u{number:03}"))).collect();
+    let mut moved = 0;
+    for round in 0..80 {
+        let counts = (0..240).map(|_| (rng.random::<u16>(), 1));
+        rates.record_counts(&counts.collect());
+        rates.advance(Duration::from_millis(250));
+        for next in plan_orphans(&table, &candidates, &rates) {
+            table.assign(next.range, Some(&next.owner));
+        }
+        for assignment in &mut table.assignments {
+            assignment.ready = true;
+        }
+        let moves = plan_balance(&table, &candidates, &rates, round % 2 == 0);
+        moved += if round > 20 { moves.len() } else { 0 };
+        for next in moves {
+            table.assign(next.range, Some(&next.owner));
+        }
+    }
+    assert!(moved <= 90, "{moved} moves in 15 s");
+}
+
 /// Guards against an owner that stays overloaded when a single key gets more load than the owner can handle. The
 /// key must move to the fastest upstream, the other keys must leave that upstream, and rebalancing must end.
 #[test]
