--- a/src/keys/tests/mod.rs
+++ b/src/keys/tests/mod.rs
@@ -175,7 +175,9 @@
     }
     let mut table = table();
     let mut candidates: Vec<Candidate> = (0..120).map(|number| candidate(&format!("u{number:03}"))).collect();
-    candidates.iter_mut().for_each(|candidate| candidate.capacity = 24.0);
+    for candidate in &mut candidates {
+        candidate.capacity = 24.0;
+    }
     for next in plan_orphans(&table, &candidates, &rates) {
         table.assign(next.range, Some(&next.owner));
     }
@@ -227,9 +229,9 @@
         for assignment in &mut table.assignments {
             assignment.ready = true;
         }
-        let moves = plan_balance(&table, &candidates, &rates, round % 2 == 0);
-        moved += if round > 20 { moves.len() } else { 0 };
-        for next in moves {
+        let plan = plan_balance(&table, &candidates, &rates, round % 2 == 0);
+        moved += if round > 20 { plan.len() } else { 0 };
+        for next in plan {
             table.assign(next.range, Some(&next.owner));
         }
     }
