Wait for late datagrams before reading the store

Change: an update that can't be applied waits 0.2 s for the one before it; a refused key leads to a read only if no change of the owners arrives within that time; the hosts that send messages on take turns of two seconds instead of alternating.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -268,7 +268,7 @@
         record_outcome(gateway, &upstream, Outcome::Shed);
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected && ctx.key.is_some() {
-            gateway.request_owner_refresh(now);
+            gateway.record_refused_key(now);
         }
         let reason = if is_misdirected {
             Reason::GrantRefused
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -13,10 +13,15 @@
 use super::peers::Message;
 use super::state::Gateway;
 use super::watch::{apply_record, has_table, retain_listed};
+use crate::keys::TableDelta;
 use crate::platform::{HOST_TOPIC, OPERATOR_TOPIC, Record, StoreError, UPSTREAM_TOPIC};
 use crate::relay::{Continuity, ReaderCandidate, Schedule, Topic, TopicDelta, Update, rank_readers};
 use crate::types::{HostName, Offset};
 
+/// Time for which an update waits for one before it.
+const DEFER_TIME: Duration = Duration::from_millis(200);
+/// Most updates that wait.
+const DEFERRED_MAX: usize = 32;
 /// Most bytes of records that are relayed for one topic; compressed, they fit into a datagram.
 const UPDATES_MAX_BYTES: usize = 24 << 10;
 
@@ -39,6 +44,22 @@
     /// Set by a failed read; cleared by a successful one or a delta from a reader.
     store_lost: Cell<bool>,
     pub(crate) schedule: Cell<Schedule>,
+    deferred: RefCell<Vec<Deferred>>,
+}
+
+/// An update that can't be applied yet: one before it may still be on its way, as datagrams overtake each other.
+#[derive(Clone, Debug)]
+struct Deferred {
+    since: Instant,
+    update: DeferredUpdate,
+}
+
+#[derive(Clone, Debug)]
+enum DeferredUpdate {
+    /// A relayed delta that names owners of keys that this host doesn't know.
+    Relay(TopicDelta),
+    /// Owners of keys that changed after a change that this host doesn't know.
+    Owners(TableDelta),
 }
 
 impl Feed {
@@ -49,9 +70,35 @@
             read_requested: Notify::new(),
             store_lost: Cell::new(false),
             schedule: Cell::new(Schedule::new(Instant::now(), jitter)),
+            deferred: RefCell::default(),
         }
     }
 
+    fn defer(&self, update: DeferredUpdate) {
+        let mut deferred = self.deferred.borrow_mut();
+        let since = Instant::now();
+        deferred.push(Deferred { since, update });
+        let surplus = deferred.len().saturating_sub(DEFERRED_MAX);
+        deferred.drain(..surplus);
+    }
+
+    /// Keeps a change of owners until the change before it arrives.
+    pub(super) fn defer_owners(&self, delta: TableDelta) {
+        self.defer(DeferredUpdate::Owners(delta));
+    }
+
+    /// Takes the deferred changes of owners.
+    pub(super) fn take_deferred_owners(&self) -> Vec<TableDelta> {
+        let is_owners = |deferred: &mut Deferred| matches!(deferred.update, DeferredUpdate::Owners(_));
+        let mut deferred = self.deferred.borrow_mut();
+        let taken = deferred.extract_if(.., is_owners);
+        let owners = taken.filter_map(|deferred| match deferred.update {
+            DeferredUpdate::Owners(delta) => Some(delta),
+            DeferredUpdate::Relay(_) => None,
+        });
+        owners.collect()
+    }
+
     /// Takes the topics whose read was requested; the caller has to read them.
     pub(super) fn take_requested(&self) -> BTreeSet<Topic> {
         std::mem::take(&mut *self.requested.borrow_mut())
@@ -266,7 +313,12 @@
                 has_stale = true;
                 false
             }
-            Continuity::Continues => !apply_updates(gateway, delta, next.unwrap_or_default()),
+            Continuity::Continues => {
+                if !apply_updates(gateway, delta, next.unwrap_or_default()) {
+                    gateway.feed.defer(DeferredUpdate::Relay(delta.clone()));
+                }
+                false
+            }
             Continuity::Gap => true,
         };
         if needs_read {
@@ -282,6 +334,32 @@
     }
 }
 
+/// Applies the updates that were deferred, or requests a read of the store if what they wait for doesn't arrive.
+pub(super) fn retry_deferred(gateway: &Gateway, now: Instant) {
+    let is_due = |deferred: &mut Deferred| now >= deferred.since + DEFER_TIME;
+    let due: Vec<Deferred> = gateway.feed.deferred.borrow_mut().extract_if(.., is_due).collect();
+    for deferred in due {
+        let topic = match &deferred.update {
+            DeferredUpdate::Relay(delta) => delta.topic,
+            DeferredUpdate::Owners(_) => Topic::Hosts,
+        };
+        let is_applied = match &deferred.update {
+            DeferredUpdate::Relay(delta) => {
+                let next = gateway.feed.next_offset(topic);
+                match delta.continuity(next) {
+                    Continuity::Stale | Continuity::Current => true,
+                    Continuity::Continues => apply_updates(gateway, delta, next.unwrap_or_default()),
+                    Continuity::Gap => false,
+                }
+            }
+            DeferredUpdate::Owners(delta) => has_table(gateway, &delta.pool, (delta.epoch, delta.revision)),
+        };
+        if !is_applied {
+            gateway.feed.request_read(topic);
+        }
+    }
+}
+
 /// Applies the updates of a delta. Returns false if this host has to read the topic itself.
 fn apply_updates(gateway: &Gateway, delta: &TopicDelta, next: Offset) -> bool {
     for update in delta.updates.iter().flatten() {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -48,6 +48,8 @@
 const FORWARD_HOSTS_MIN: usize = 4;
 /// Hosts of a zone that take turns in sending messages on.
 const FORWARDERS_PER_ZONE: usize = 2;
+/// Time for which one of them does.
+const FORWARD_TURN: Duration = Duration::from_secs(2);
 /// Largest datagram that is received.
 const DATAGRAM_MAX_BYTES: usize = 16 << 10;
 /// First byte of a datagram whose message is plain MessagePack.
@@ -350,7 +352,6 @@
 
 /// Sends the messages of the outbox.
 async fn send_outbox(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut round = 0;
     loop {
         gateway.outbox.message_added.notified().await;
         let messages = std::mem::take(&mut *gateway.outbox.messages.borrow_mut());
@@ -373,11 +374,10 @@
                 bytes = encode(&shrink(message));
             }
             let (addresses, forwarders) = if recipients == Recipients::All {
-                plan_fan_out(&gateway, round)
+                plan_fan_out(&gateway)
             } else {
                 (addresses, Vec::new())
             };
-            round = round.wrapping_add(1);
             let count = addresses.len();
             gateway.metrics.count_message(Direction::Sent, kind, bytes.len(), count);
             for address in addresses {
@@ -424,14 +424,16 @@
 }
 
 /// Returns the hosts that a message to all is sent to directly, and those that send it on within their zone: bytes between
-/// zones are costly, and one host has not to send to hundreds. Two hosts of a zone take turns, so that the loss of one
-/// costs half of the messages until its entry is gone.
-fn plan_fan_out(gateway: &Gateway, round: usize) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+/// zones are costly, and one host has not to send to hundreds. Two hosts of a zone take turns of some seconds, so that
+/// messages keep their order and the loss of one host costs half of the messages until its entry is gone.
+fn plan_fan_out(gateway: &Gateway) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let hosts = gateway.hosts.borrow();
     let mut zones: BTreeMap<&Zone, Vec<(&HostName, &Presence)>> = BTreeMap::new();
     for (host, presence) in hosts.iter().filter(|(host, _)| **host != gateway.settings.host) {
         zones.entry(&presence.zone).or_default().push((host, presence));
     }
+    let turn = gateway.started.elapsed().as_secs() / FORWARD_TURN.as_secs();
+    let turn = usize::try_from(turn).unwrap_or_default();
     let (mut direct, mut forwarders) = (Vec::new(), Vec::new());
     for (zone, members) in zones {
         // Builds that don't forward announce no incarnation.
@@ -443,7 +445,7 @@
         let mut ranked = members;
         ranked.sort_by_key(|(host, presence)| (Reverse(presence.millicores), xxh3_64(host.as_str().as_bytes())));
         ranked.truncate(FORWARDERS_PER_ZONE);
-        forwarders.push(ranked[round % ranked.len()].1.peers);
+        forwarders.push(ranked[turn % ranked.len()].1.peers);
     }
     (direct, forwarders)
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,8 @@
 /// Minimum time between two store reads caused by upstreams that refuse a key: when an owner is lost,
 /// requests for all its keys are refused at once.
 const OWNER_REFRESH_GAP_MIN: Duration = Duration::from_millis(400);
+/// Time in which a change of owners reaches this host after the upstreams have applied it.
+const OWNER_CHANGE_TIME: Duration = Duration::from_millis(200);
 /// Longest time for which keys without a ready owner count as moving. A longer move waits for more than
 /// running requests, mostly for a lost owner.
 const MOVE_WINDOW: Duration = Duration::from_millis(600);
@@ -116,6 +118,8 @@
     owners_changed: Cell<Option<Instant>>,
     /// When a read of the owners of keys was last requested because an upstream refused a key.
     owners_refreshed: Cell<Option<Instant>>,
+    /// When an upstream first refused a key since the last refresh of the owners.
+    key_refused: Cell<Option<Instant>>,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<BTreeMap<PoolName, RetryBudget>>,
     pub(crate) cold_limiters: RefCell<BTreeMap<UpstreamName, ColdLimiter>>,
@@ -200,6 +204,7 @@
             catalog_changed: Cell::default(),
             owners_changed: Cell::default(),
             owners_refreshed: Cell::default(),
+            key_refused: Cell::default(),
             budgets: RefCell::default(),
             cold_limiters: RefCell::default(),
             cold_quotas: RefCell::default(),
@@ -296,14 +301,28 @@
         since.is_some_and(|since| now < since + MOVE_WINDOW)
     }
 
-    /// Requests a read of the owners of keys because an upstream refused a key that it doesn't hold. Does
-    /// nothing if the last such request is too recent.
-    pub(crate) fn request_owner_refresh(&self, now: Instant) {
-        if self
+    /// Records that an upstream refused a key that it doesn't hold, as this host believes.
+    pub(crate) fn record_refused_key(&self, now: Instant) {
+        if self.key_refused.get().is_none() {
+            self.key_refused.set(Some(now));
+        }
+    }
+
+    /// Requests a read of the owners of keys if an upstream has refused a key and no change of the owners has arrived
+    /// since. Does nothing if the last such request is too recent.
+    pub(crate) fn refresh_owners(&self, now: Instant) {
+        let Some(refused) = self.key_refused.get().filter(|at| now >= *at + OWNER_CHANGE_TIME) else {
+            return;
+        };
+        let is_too_early = self
             .owners_refreshed
             .get()
-            .is_none_or(|at| now >= at + OWNER_REFRESH_GAP_MIN)
-        {
+            .is_some_and(|at| now < at + OWNER_REFRESH_GAP_MIN);
+        if is_too_early {
+            return;
+        }
+        self.key_refused.set(None);
+        if self.owners_changed.get().is_none_or(|changed| changed < refused) {
             self.owners_refreshed.set(Some(now));
             self.feed.request_read(Topic::Hosts);
         }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::crashes::{record_end, resend_reports};
-use super::feed::follow_topics;
+use super::feed::{follow_topics, retry_deferred};
 use super::state::{Gateway, Presence};
 use crate::catalog::CatalogVersion;
 use crate::fleet::Change;
@@ -251,8 +251,8 @@
     gateway.install_table(Instant::now(), table);
 }
 
-/// Applies a delta that the grantor has saved. Requests a read of the store if the delta doesn't build
-/// on the known table.
+/// Applies a delta that the grantor has saved, and those that waited for it. A delta that doesn't build on the known table
+/// waits a short time for the one before it.
 pub(crate) fn apply_table_delta(gateway: &Gateway, delta: &TableDelta) {
     let known = gateway.tables.borrow().get(&delta.pool).cloned();
     if known
@@ -262,8 +262,15 @@
         return;
     }
     match known.and_then(|known| known.apply_delta(delta)) {
-        Some(table) => apply_newer_table(gateway, table),
-        None => gateway.feed.request_read(Topic::Hosts),
+        Some(table) => {
+            apply_newer_table(gateway, table);
+            let mut deferred = gateway.feed.take_deferred_owners();
+            deferred.sort_by_key(|delta| delta.revision);
+            for delta in deferred {
+                apply_table_delta(gateway, &delta);
+            }
+        }
+        None => gateway.feed.defer_owners(delta.clone()),
     }
 }
 
@@ -278,5 +285,7 @@
         gateway.runs.borrow_mut().sweep(now);
         gateway.suspects.borrow_mut().sweep(now);
         gateway.sweep_departed(now);
+        retry_deferred(&gateway, now);
+        gateway.refresh_owners(now);
     }
 }
