--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -10,9 +10,12 @@
 use crate::tenants::TenantDirectory;
 use crate::types::{Offset, PoolName, RouteName, UpstreamName, Zone};
 
+mod check;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use check::{Finding, compare};
+
 /// Version number that operators give a configuration. A host replaces the configuration in force only by
 /// one with a higher version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -133,31 +136,6 @@
     }
 }
 
-impl Catalog {
-    /// Returns a description of each unknown pool, each route without a target of a weight above 0, and
-    /// each malformed prefix.
-    pub(crate) fn validate(&self) -> Vec<String> {
-        let mut faults = Vec::new();
-        for route in self.routes.values().flat_map(BTreeMap::values) {
-            if route.targets.iter().all(|target| target.weight == 0) {
-                faults.push(format!("route {}: no target has a weight above 0", route.name));
-            }
-            for target in &route.targets {
-                if !self.pools.contains_key(&target.pool) {
-                    faults.push(format!("route {}: unknown pool {}", route.name, target.pool));
-                }
-            }
-            if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
-                faults.push(format!(
-                    "route {}: prefix {:?} must start and end with a slash",
-                    route.name, route.prefix
-                ));
-            }
-        }
-        faults
-    }
-}
-
 /// Reports whether each percent sign of a path starts an escape of two hexadecimal digits (RFC 3986, section 2.1).
 pub(crate) fn has_valid_escapes(path: &str) -> bool {
     let is_escape = |rest: &[u8]| rest.len() >= 2 && rest[..2].iter().all(u8::is_ascii_hexdigit);
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -11,16 +11,17 @@
 
 use crate::counts::{ProcessCounts, Report, merge_counts};
 use crate::gateway::run_gateway;
-use crate::platform::{COUNT_TOPIC, Store, decode_catalog};
+use crate::platform::{COUNT_TOPIC, Store};
 use crate::settings::{Settings, parse_settings};
 use crate::telemetry::{StoreCalls, build_logger};
-use crate::types::Offset;
 
+mod configuration;
 mod explain;
 
 #[cfg(test)]
 mod tests;
 
+use configuration::{CheckRequest, check_configuration};
 use explain::explain_request;
 
 /// Routes requests to servers that own keys exclusively
@@ -70,9 +71,20 @@
         file: PathBuf,
     },
     /// Checks a configuration in the format in which operators write it to the store
+    ///
+    /// Exit status: 0 no findings, 1 findings, 2 a file or the store can't be read or the configuration not decoded.
     Configuration {
         /// Configuration file (JSON)
         file: PathBuf,
+        /// Configuration in force, to show what the new one changes for callers
+        #[arg(long, conflicts_with = "store")]
+        against: Option<PathBuf>,
+        /// Address of the store that has the configuration in force
+        #[arg(long)]
+        store: Option<SocketAddr>,
+        /// Memory of the smallest machine in MB, to compare the limits on callers with
+        #[arg(long)]
+        memory_mb: Option<usize>,
     },
 }
 
@@ -82,12 +94,17 @@
     Failed(String),
     InvalidInput(String),
     NotFound(String),
+    /// A configuration has findings, which are printed as the result.
+    Findings(String),
+    /// A configuration can't be read or decoded.
+    Unreadable(String),
 }
 
 impl CommandError {
     fn exit_status(&self) -> ExitCode {
         match self {
-            Self::Failed(_) => ExitCode::FAILURE,
+            Self::Failed(_) | Self::Findings(_) => ExitCode::FAILURE,
+            Self::Unreadable(_) => ExitCode::from(2),
             Self::InvalidInput(_) => ExitCode::from(3),
             Self::NotFound(_) => ExitCode::from(4),
         }
@@ -95,7 +112,11 @@
 
     fn message(&self) -> &str {
         match self {
-            Self::Failed(message) | Self::InvalidInput(message) | Self::NotFound(message) => message,
+            Self::Failed(message)
+            | Self::InvalidInput(message)
+            | Self::NotFound(message)
+            | Self::Findings(message)
+            | Self::Unreadable(message) => message,
         }
     }
 }
@@ -111,6 +132,10 @@
             }
             ExitCode::SUCCESS
         }
+        Err(CommandError::Findings(text)) => {
+            println!("{text}");
+            ExitCode::FAILURE
+        }
         Err(error) if arguments.json => {
             println!("{}", json!({ "error": error.message() }));
             error.exit_status()
@@ -135,7 +160,18 @@
             let settings = read_settings(file)?;
             Ok(format_valid(is_json, &format!("settings of host {}", settings.host)))
         }
-        Command::Check(Check::Configuration { file }) => check_configuration(file, is_json),
+        Command::Check(Check::Configuration {
+            file,
+            against,
+            store,
+            memory_mb,
+        }) => check_configuration(&CheckRequest {
+            file,
+            against: against.as_deref(),
+            store: *store,
+            memory: memory_mb.map(|mb| mb.saturating_mul(1_000_000)),
+            is_json,
+        }),
         Command::Counts { store } => {
             let report = read_counts(*store)?;
             Ok(format_counts(is_json, &report))
@@ -182,28 +218,6 @@
     }
 }
 
-fn check_configuration(file: &Path, is_json: bool) -> Result<String, CommandError> {
-    let text = read_file(file)?;
-    let catalog = decode_catalog(Offset(0), text.as_bytes());
-    let catalog = catalog.map_err(|e| CommandError::InvalidInput(format!("{}: {e}", file.display())))?;
-    let (catalog, mut faults) = catalog;
-    faults.extend(catalog.validate());
-    if !faults.is_empty() {
-        return Err(CommandError::InvalidInput(format!(
-            "{}: {}",
-            file.display(),
-            faults.join("; ")
-        )));
-    }
-    let routes: usize = catalog.routes.values().map(BTreeMap::len).sum();
-    let subject = format!(
-        "configuration {} with {routes} routes and {} pools",
-        catalog.version,
-        catalog.pools.len()
-    );
-    Ok(format_valid(is_json, &subject))
-}
-
 fn read_counts(store: SocketAddr) -> Result<Report, CommandError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| CommandError::Failed(e.to_string()))?;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -14,7 +14,7 @@
 use crate::catalog::CatalogVersion;
 use crate::fleet::Change;
 use crate::keys::{KeyTable, TableDelta};
-use crate::platform::{OperatorKey, Record, decode_catalog, decode_server, read_operator_key};
+use crate::platform::{Decoded, OperatorKey, Record, decode_catalog, decode_server, read_operator_key};
 use crate::relay::{Topic, Update};
 use crate::types::{Offset, PoolName, UpstreamName, Zone};
 
@@ -92,15 +92,15 @@
 pub(crate) fn apply_catalog(gateway: &Gateway, offset: Offset, text: &[u8]) {
     let known = gateway.catalog.borrow().as_ref().map(|c| (c.version, c.offset));
     match decode_catalog(offset, text) {
-        Ok((catalog, _)) if known.is_some_and(|(version, at)| catalog.version <= version && at != offset) => {
-            warn!(gateway.log, "older configuration passed over"; "version" => %catalog.version,
+        Ok(decoded) if known.is_some_and(|(version, at)| decoded.catalog.version <= version && at != offset) => {
+            warn!(gateway.log, "older configuration passed over"; "version" => %decoded.catalog.version,
                 "offset" => offset.0, "in_force" => %known.map_or(CatalogVersion(0), |(version, _)| version));
         }
         Ok(_) if known.is_some_and(|(_, at)| at == offset) => {}
-        Ok((catalog, faults)) => {
+        Ok(Decoded { catalog, faults, .. }) => {
             for fault in faults {
                 warn!(gateway.log, "part of the configuration can't be used"; "version" => %catalog.version,
-                    "offset" => offset.0, "fault" => fault);
+                    "offset" => offset.0, "fault" => %fault);
             }
             info!(gateway.log, "configuration in force"; "version" => %catalog.version, "offset" => offset.0,
                 "pools" => catalog.pools.len());
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,12 +1,13 @@
 //! Wire format of the operators' configuration.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::units::{read_optional_time, read_time, read_version};
 use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target};
@@ -19,13 +20,22 @@
 const DEFAULT_MAX_ATTEMPTS: u32 = 1;
 
 #[derive(Deserialize)]
-struct WireConfiguration {
+struct WireConfiguration<'a> {
     #[serde(deserialize_with = "read_version")]
     version: u64,
-    routes: Vec<Value>,
-    services: Vec<Value>,
+    #[serde(borrow)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    services: Vec<&'a RawValue>,
     limits: WireLimits,
-    tenants: Option<Vec<Value>>,
+    #[serde(borrow)]
+    tenants: Option<Vec<&'a RawValue>>,
+}
+
+/// Name of an entry, read before the whole entry is.
+#[derive(Deserialize)]
+struct WireName {
+    name: String,
 }
 
 #[derive(Deserialize)]
@@ -99,95 +109,192 @@
     idle_timeout: Duration,
 }
 
-/// Decodes a configuration. An entry that can't be decoded is left out and described in a list of faults, so that it
-/// doesn't keep the others from coming into force.
+/// Something in a configuration that can't be used as it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Fault {
+    /// Line of the configuration's text in which the entry starts.
+    pub(crate) line: usize,
+    /// Kind and name of the entry.
+    pub(crate) entry: String,
+    pub(crate) text: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}, {}: {}", self.line, self.entry, self.text)
+    }
+}
+
+/// A decoded configuration, with what can't be used of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Decoded {
+    pub(crate) catalog: Catalog,
+    pub(crate) faults: Vec<Fault>,
+    /// Line in which each entry starts, by its kind and name.
+    pub(crate) lines: BTreeMap<String, usize>,
+}
+
+/// Decodes a configuration. An entry that can't be decoded is left out and becomes a fault, so that it doesn't keep the
+/// others from coming into force.
 ///
 /// # Errors
 ///
 /// Returns the parse error if nothing can be decoded; the configuration in force then stays in use.
-pub(crate) fn decode_catalog(offset: Offset, text: &[u8]) -> Result<(Catalog, Vec<String>), serde_json::Error> {
-    let wire = serde_json::from_slice::<WireConfiguration>(text)?;
-    let mut faults = Vec::new();
-    let mut routes: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
-    for route in decode_entries::<WireRoute>("route", wire.routes, &mut faults) {
-        if matches!(route.kind, WireKind::Unknown) {
-            faults.push(format!(
-                "route {}: unknown kind; its requests run at most once",
-                route.name
-            ));
-        }
-        let route = convert_route(route);
-        routes
-            .entry(route.host.clone())
-            .or_default()
-            .insert(route.prefix.clone(), route);
-    }
-    let pools = decode_entries::<WireService>("service", wire.services, &mut faults);
-    let pools = pools.into_iter().map(convert_pool);
-    let tenants = wire.tenants.map(|entries| {
-        let tenants = decode_entries::<WireTenant>("tenant", entries, &mut faults);
-        build_directory(tenants, &mut faults)
+pub(crate) fn decode_catalog(offset: Offset, text: &[u8]) -> Result<Decoded, serde_json::Error> {
+    decode_with_key(offset, text, rand::random())
+}
+
+/// Decodes a configuration with a given key for the hashes of credentials, so that two configurations can be compared.
+///
+/// # Errors
+///
+/// As [`decode_catalog`].
+pub(crate) fn decode_with_key(offset: Offset, text: &[u8], hash_key: [u8; 16]) -> Result<Decoded, serde_json::Error> {
+    let wire = serde_json::from_slice::<WireConfiguration<'_>>(text)?;
+    let mut entries = Entries {
+        text,
+        faults: Vec::new(),
+        lines: BTreeMap::new(),
+    };
+    let routes = build_routes(entries.decode("route", wire.routes), &mut entries);
+    let pools = entries.decode::<WireService>("service", wire.services);
+    let pools = pools.into_iter().map(|located| convert_pool(located.value));
+    let pools = pools.map(|pool| (pool.name.clone(), pool)).collect();
+    let tenants = wire.tenants.map(|tenants| {
+        let tenants = entries.decode("tenant", tenants);
+        build_directory(hash_key, tenants, &mut entries)
     });
     let catalog = Catalog {
         tenants,
         version: CatalogVersion(wire.version),
         offset,
         routes,
-        pools: pools.map(|pool| (pool.name.clone(), pool)).collect(),
+        pools,
         limits: CallerLimits {
             header_bytes: wire.limits.max_header_bytes,
             body_bytes: wire.limits.max_body_bytes,
             idle_time: wire.limits.idle_timeout,
         },
     };
-    Ok((catalog, faults))
+    Ok(Decoded {
+        catalog,
+        faults: entries.faults,
+        lines: entries.lines,
+    })
+}
+
+/// A decoded entry and where it is.
+struct Located<T> {
+    line: usize,
+    entry: String,
+    value: T,
+}
+
+impl<T> Located<T> {
+    fn fault(&self, text: impl Into<String>) -> Fault {
+        Fault {
+            line: self.line,
+            entry: self.entry.clone(),
+            text: text.into(),
+        }
+    }
+}
+
+/// Entries of a configuration while they are decoded.
+struct Entries<'a> {
+    text: &'a [u8],
+    faults: Vec<Fault>,
+    lines: BTreeMap<String, usize>,
+}
+
+impl Entries<'_> {
+    /// Decodes the entries of a list one by one and adds a fault for each that can't be decoded.
+    fn decode<T: DeserializeOwned>(&mut self, kind: &str, entries: Vec<&RawValue>) -> Vec<Located<T>> {
+        let mut decoded = Vec::new();
+        for (number, raw) in entries.into_iter().enumerate() {
+            let line = self.line_of(raw);
+            let name = serde_json::from_str::<WireName>(raw.get());
+            let entry = name.map_or_else(
+                |_| format!("{kind} number {}", number + 1),
+                |n| format!("{kind} {}", n.name),
+            );
+            self.lines.insert(entry.clone(), line);
+            let value = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(raw.get()));
+            match value {
+                Ok(value) => decoded.push(Located { line, entry, value }),
+                Err(error) => self.faults.push(Fault {
+                    line: line + error.inner().line().saturating_sub(1),
+                    entry,
+                    text: format!("field {}: {}; the entry is left out", error.path(), error.inner()),
+                }),
+            }
+        }
+        decoded
+    }
+
+    /// Returns the line of the text in which an entry, which is a part of the text, starts.
+    fn line_of(&self, raw: &RawValue) -> usize {
+        let start = (raw.get().as_ptr() as usize).saturating_sub(self.text.as_ptr() as usize);
+        let before = &self.text[..start.min(self.text.len())];
+        before.split(|byte| *byte == b'\n').count()
+    }
 }
 
-fn build_directory(tenants: Vec<WireTenant>, faults: &mut Vec<String>) -> TenantDirectory {
-    let mut directory = TenantDirectory::new(rand::random());
-    for wire in tenants {
+fn build_routes(wire: Vec<Located<WireRoute>>, entries: &mut Entries<'_>) -> BTreeMap<String, BTreeMap<String, Route>> {
+    let mut routes: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
+    for located in wire {
+        if matches!(located.value.kind, WireKind::Unknown) {
+            entries
+                .faults
+                .push(located.fault("unknown kind; its requests run at most once"));
+        }
+        let fault = located.fault("");
+        let route = convert_route(located.value);
+        let known = routes.entry(route.host.clone()).or_default();
+        if let Some(other) = known.get(&route.prefix) {
+            entries.faults.push(Fault {
+                text: format!("it can never match: route {} has the same host and prefix", other.name),
+                ..fault
+            });
+            continue;
+        }
+        known.insert(route.prefix.clone(), route);
+    }
+    routes
+}
+
+fn build_directory(
+    hash_key: [u8; 16],
+    tenants: Vec<Located<WireTenant>>,
+    entries: &mut Entries<'_>,
+) -> TenantDirectory {
+    let mut directory = TenantDirectory::new(hash_key);
+    for located in tenants {
+        let wire = &located.value;
         let is_number = |number: f64| number.is_finite() && number >= 0.0;
         if !(is_number(wire.rate_per_s) && is_number(wire.burst)) {
-            faults.push(format!(
-                "tenant {}: the cap is not a number of 0 or more; left out",
-                wire.name
-            ));
+            entries
+                .faults
+                .push(located.fault("the cap is not a number of 0 or more; the entry is left out"));
             continue;
         }
         let tenant = Rc::new(Tenant {
-            name: wire.name,
+            name: wire.name.clone(),
             priority: wire.priority,
             rate: (wire.rate_per_s > 0.0).then_some(wire.rate_per_s),
             burst: wire.burst,
         });
+        directory.add_tenant(&tenant);
         for (number, key) in wire.api_keys.iter().enumerate() {
-            if !directory.add(key, &tenant) {
-                faults.push(format!(
-                    "tenant {}: another tenant holds key number {}; it stays there",
-                    tenant.name,
-                    number + 1
-                ));
+            if let Some(holder) = directory.add(key, &tenant) {
+                let text = format!("tenant {holder} holds key number {} too; it stays there", number + 1);
+                entries.faults.push(located.fault(text));
             }
         }
     }
     directory
 }
 
-/// Decodes the entries of a list one by one and adds a fault for each that can't be decoded.
-fn decode_entries<T: DeserializeOwned>(what: &str, entries: Vec<Value>, faults: &mut Vec<String>) -> Vec<T> {
-    let decode = |(number, entry): (usize, Value)| {
-        let name = entry["name"].as_str().map(ToOwned::to_owned);
-        let decoded = T::deserialize(entry);
-        decoded
-            .map_err(|error| {
-                let name = name.unwrap_or_else(|| format!("number {}", number + 1));
-                faults.push(format!("{what} {name}: {error}; left out"));
-            })
-            .ok()
-    };
-    entries.into_iter().enumerate().filter_map(decode).collect()
-}
-
 fn convert_route(wire: WireRoute) -> Route {
     let targets = match wire.service {
         Some(pool) => vec![Target { pool, weight: 1 }],
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,7 +15,7 @@
 mod tests;
 
 pub(crate) use bounds::{Bounds, decode_bounds};
-pub(crate) use configuration::decode_catalog;
+pub(crate) use configuration::{Decoded, decode_catalog, decode_with_key};
 pub(crate) use headers::{
     CREDENTIAL, DEADLINE, EXPECTED_INSTANCE, INSTANCE, NOT_EXECUTED, REQUEST_ID, SHARD_KEY, SIGNATURE, TENANT,
     read_cold, read_leaving, read_limit, read_load, read_pause,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -6,8 +6,10 @@
 
 use super::store::{decode_batch, encode_records};
 use super::units::parse_time;
-use super::{OperatorKey, decode_bounds, decode_catalog, decode_server, read_load, read_operator_key};
-use crate::catalog::{Idempotency, Phase};
+use super::{
+    Decoded, OperatorKey, decode_bounds, decode_catalog, decode_server, decode_with_key, read_load, read_operator_key,
+};
+use crate::catalog::{Idempotency, Phase, compare};
 use crate::types::Offset;
 
 const CONFIGURATION: &str = include_str!("../../examples/platform/configuration.json");
@@ -26,7 +28,7 @@
 /// Guards against rejecting or misreading the example configuration.
 #[test]
 fn the_example_configuration_is_decoded() {
-    let (catalog, faults) = decode_catalog(Offset(4), CONFIGURATION.as_bytes()).expect("a configuration");
+    let Decoded { catalog, faults, .. } = decode_catalog(Offset(4), CONFIGURATION.as_bytes()).expect("a configuration");
     assert!(faults.is_empty());
     assert_eq!(catalog.version.to_string(), "00000001");
     let route = catalog
@@ -34,7 +36,7 @@
         .expect("a route");
     assert_eq!(route.idempotency, Idempotency::NonIdempotent);
     assert!(catalog.pools[&"placas".parse().expect("a name")].is_sharded);
-    assert!(catalog.validate().is_empty());
+    assert!(catalog.check(None).is_empty(), "{:?}", catalog.check(None));
 }
 
 /// Guards against a configuration that doesn't come into force because one of its entries has something that this build
@@ -47,18 +49,19 @@
         decode_catalog(Offset(4), text.as_bytes()).expect("a configuration")
     };
     let path = "/renovaciones/7";
-    let (catalog, faults) = with("\"unsafe\"", "\"upload\"");
+    let Decoded { catalog, faults, .. } = with("\"unsafe\"", "\"upload\"");
     let route = catalog.find_route("licencias.example", path).expect("a route");
     assert_eq!(route.idempotency, Idempotency::Upload);
     assert!(faults.is_empty());
-    let (catalog, faults) = with("\"unsafe\"", "\"stream\"");
+    let Decoded { catalog, faults, .. } = with("\"unsafe\"", "\"stream\"");
     let route = catalog.find_route("licencias.example", path).expect("a route");
     assert!(!route.idempotency.is_retryable(), "the strictest kind");
     assert_eq!(faults.len(), 1);
-    let (catalog, faults) = with("\"unsafe\"", "7");
+    let Decoded { catalog, faults, .. } = with("\"unsafe\"", "7");
     assert!(catalog.find_route("licencias.example", path).is_none());
     assert!(catalog.find_route("licencias.example", "/placas/7").is_some());
-    assert!(faults[0].contains("renovaciones"), "{faults:?}");
+    assert_eq!((faults[0].line, faults[0].entry.as_str()), (5, "route renovaciones"));
+    assert!(faults[0].text.contains("field kind"), "{faults:?}");
 }
 
 /// Guards against accepting a malformed record of another writer, or a part of it.
@@ -152,3 +155,137 @@
         let _ = decode_batch(Offset(0), Bytes::from(body));
     }
 }
+
+/// Replaces a part of the example configuration, and returns the findings of the check with their lines.
+fn findings(from: &str, to: &str) -> Vec<String> {
+    let text = CONFIGURATION.replacen(from, to, 1);
+    assert_ne!(text, CONFIGURATION, "{from}");
+    let decoded = decode_catalog(Offset(0), text.as_bytes()).expect("a configuration");
+    let checked = decoded.catalog.check(Some(120_000_000)).into_iter();
+    let checked = checked.map(|finding| format!("{}: {}", finding.entry, finding.text));
+    decoded.faults.iter().map(ToString::to_string).chain(checked).collect()
+}
+
+/// Guards against a check that misses a kind of fault, or doesn't name its place.
+#[test]
+fn each_kind_of_fault_is_found() {
+    for (from, to, named) in [
+        ("\"2s\"", "2", "line 4, route placas: field timeout"),
+        ("\"safe\"", "\"stream\"", "line 4, route placas: unknown kind"),
+        (
+            "\"/renovaciones/\"",
+            "\"/placas/\"",
+            "line 5, route renovaciones: it can never match: route placas",
+        ),
+        ("\"/renovaciones/\"", "\"/renovaciones\"", "start and end with a slash"),
+        ("\"/renovaciones/\"", "\"/a?b/\"", "no path contains"),
+        (
+            "\"licencias.example\"",
+            "\"licencias.example:80\"",
+            "no host name without a port",
+        ),
+        (
+            "\"service\": \"placas\"",
+            "\"service\": \"plasca\"",
+            "unknown service plasca",
+        ),
+        (
+            "\"service\": \"placas\"",
+            "\"service\": \"renovaciones\"",
+            "service placas: no route names it",
+        ),
+        (
+            "\"service\": \"placas\"",
+            "\"traffic_split\": [{\"service\": \"placas\", \"weight\": 0}]",
+            "no target has a weight above 0",
+        ),
+        ("\"300ms\"", "\"3s\"", "below the target latency"),
+        ("\"max_attempts\": 2", "\"max_attempts\": 20", "can't hold 20 attempts"),
+        (
+            "\"max_connections\": 110",
+            "\"max_connections\": 0",
+            "accept no connection",
+        ),
+        (
+            "\"cold_per_s\": 14.0",
+            "\"cold_per_s\": 0.2",
+            "a cold server would get 0.2",
+        ),
+        ("67108864", "671088640", "limits: bodies of 671088640"),
+        ("16384", "4096", "limits: heads of up to 8192"),
+        (
+            "\"limits\"",
+            "\"tenants\": [{\"name\": \"a\", \"api_keys\": [\"k\"]}, {\"name\": \"b\", \"api_keys\": [\"k\"]}], \"limits\"",
+            "tenant b: tenant a holds key number 1 too",
+        ),
+        (
+            "\"limits\"",
+            "\"tenants\": [{\"name\": \"a\", \"rate_per_s\": -1}], \"limits\"",
+            "tenant a: the cap is not a number",
+        ),
+        (
+            "\"limits\"",
+            "\"tenants\": [{\"name\": \"a\", \"rate_per_s\": 5, \"burst\": 0}], \"limits\"",
+            "burst below one request",
+        ),
+        (
+            "\"limits\"",
+            "\"tenants\": [{\"name\": \"a\"}], \"limits\"",
+            "it has no key",
+        ),
+    ] {
+        let found = findings(from, to);
+        assert!(found.iter().any(|text| text.contains(named)), "{named}: {found:?}");
+    }
+}
+
+/// Guards against a comparison that misses what a configuration changes for callers, or shows a key.
+#[test]
+fn changes_for_callers_are_described() {
+    let with = |from: &str, to: &str, version: &str| {
+        let text = CONFIGURATION.replace(from, to).replace("00000001", version);
+        decode_with_key(Offset(0), text.as_bytes(), [0; 16])
+            .expect("a configuration")
+            .catalog
+    };
+    let tenants = |keys: &str| {
+        format!(
+            "\"tenants\": [{{\"name\": \"a\", \"api_keys\": [{keys}], \"rate_per_s\": 5, \"burst\": 5}}], \"limits\""
+        )
+    };
+    let current = with("\"limits\"", &tenants("\"secret-1\", \"secret-2\""), "00000002");
+    let same = with("\"limits\"", &tenants("\"secret-1\", \"secret-2\""), "00000003");
+    assert!(compare(&current, &same).is_empty(), "{:?}", compare(&current, &same));
+    let ended = compare(&current, &with("\"limits\"", &tenants("\"secret-1\""), "00000003"));
+    assert_eq!(ended, ["1 keys of tenant a end"]);
+    let moved = compare(&same, &with("/flotas/", "/flota/", "00000003")).join("\n");
+    for text in [
+        "never comes into force",
+        "requests to licencias.example/flotas/ get 404",
+        "requests to licencias.example/flota/ go to renovaciones instead of 404",
+        "requests need no key",
+    ] {
+        assert!(moved.contains(text), "{text}: {moved}");
+    }
+    let slower = compare(&current, &with("\"400ms\"", "\"700ms\"", "00000003")).join("\n");
+    assert!(slower.contains("requests to licencias.example/renovaciones/ are wanted within 700ms instead of 400ms"));
+}
+
+proptest! {
+    /// Guards against input that ends the check, or a fault without its place.
+    #[test]
+    fn damaged_configurations_do_not_end_the_check(at in any::<prop::sample::Index>(), byte in any::<u8>(), cut in any::<bool>()) {
+        let mut text = CONFIGURATION.as_bytes().to_vec();
+        let at = at.index(text.len());
+        if cut {
+            text.truncate(at);
+        } else {
+            text[at] = byte;
+        }
+        if let Ok(decoded) = decode_catalog(Offset(0), &text) {
+            decoded.catalog.check(Some(1));
+            compare(&decoded.catalog, &decoded.catalog);
+            prop_assert!(decoded.faults.iter().all(|fault| fault.line > 0 && !fault.entry.is_empty()));
+        }
+    }
+}
--- a/src/tenants/directory.rs
+++ b/src/tenants/directory.rs
@@ -60,12 +60,26 @@
         hasher.finish128().as_u128()
     }
 
-    /// Adds a credential of a tenant. Returns false if another tenant holds it, and leaves it there.
-    pub(crate) fn add(&mut self, credential: &str, tenant: &Rc<Tenant>) -> bool {
-        let hash = self.hash(credential.as_bytes());
+    /// Adds a tenant.
+    pub(crate) fn add_tenant(&mut self, tenant: &Rc<Tenant>) {
         self.by_name.insert(tenant.name.clone(), Rc::clone(tenant));
+    }
+
+    /// Adds a credential of a tenant. If another tenant holds it, it stays there, and that tenant's name is returned.
+    pub(crate) fn add(&mut self, credential: &str, tenant: &Rc<Tenant>) -> Option<TenantName> {
+        let hash = self.hash(credential.as_bytes());
         let holder = self.by_credential.entry(hash).or_insert_with(|| Rc::clone(tenant));
-        holder.name == tenant.name
+        (holder.name != tenant.name).then(|| holder.name.clone())
+    }
+
+    /// Returns all tenants.
+    pub(crate) fn tenants(&self) -> impl Iterator<Item = &Rc<Tenant>> {
+        self.by_name.values()
+    }
+
+    /// Returns the hash of each credential with its tenant.
+    pub(crate) fn credentials(&self) -> impl Iterator<Item = (u128, &Rc<Tenant>)> {
+        self.by_credential.iter().map(|(hash, tenant)| (*hash, tenant))
     }
 
     /// Returns a tenant by its name.
--- a/src/tenants/tests.rs
+++ b/src/tenants/tests.rs
@@ -35,9 +35,14 @@
 #[test]
 fn only_the_single_credential_of_a_tenant_is_accepted() {
     let mut directory = TenantDirectory::new([7; 16]);
-    assert!(directory.add("key-a", &tenant("a")));
-    assert!(directory.add("key-b", &tenant("b")));
-    assert!(!directory.add("key-a", &tenant("b")), "a credential of two tenants");
+    assert_eq!(directory.add("key-a", &tenant("a")), None);
+    assert_eq!(directory.add("key-b", &tenant("b")), None);
+    let holder = directory.add("key-a", &tenant("b"));
+    assert_eq!(
+        holder,
+        Some("a".parse().expect("valid name")),
+        "a credential of two tenants"
+    );
     assert_eq!(authenticate(&directory, &[b"key-a"]), Ok("a".to_owned()));
     assert_eq!(authenticate(&directory, &[b"key-b"]), Ok("b".to_owned()));
     for unknown in [&b""[..], b"key-c", b"KEY-A", b"key-"] {
