--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -15,11 +15,30 @@
 /// Share of a machine's memory that bodies may use.
 const BODY_MEMORY_SHARE: f64 = 0.58;
 
-/// A fault of an entry, named by its kind and name.
+/// Something that operators should know of an entry, which is named by its kind and name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Finding {
     pub(crate) entry: String,
     pub(crate) text: String,
+    /// It may be intended, and callers don't notice it.
+    pub(crate) is_note: bool,
+}
+
+impl Finding {
+    fn fault(entry: &str, text: String) -> Self {
+        Self {
+            entry: entry.to_owned(),
+            text,
+            is_note: false,
+        }
+    }
+
+    fn note(entry: &str, text: String) -> Self {
+        Self {
+            is_note: true,
+            ..Self::fault(entry, text)
+        }
+    }
 }
 
 impl Catalog {
@@ -29,25 +48,22 @@
         for route in self.routes.values().flat_map(BTreeMap::values) {
             let entry = format!("route {}", route.name);
             let texts = check_match(route).into_iter().chain(self.check_route(route));
-            findings.extend(texts.map(|text| Finding {
-                entry: entry.clone(),
-                text,
-            }));
+            findings.extend(texts.map(|text| Finding::fault(&entry, text)));
+            let idle = route.targets.iter().filter(|target| target.weight == 0);
+            let text = |pool| format!("its part {pool} has weight 0 and gets no requests");
+            findings.extend(idle.map(|target| Finding::note(&entry, text(&target.pool))));
         }
         let targets = self.routes.values().flat_map(BTreeMap::values).flat_map(|r| &r.targets);
         let named: BTreeSet<&PoolName> = targets.map(|target| &target.pool).collect();
         for pool in self.pools.values() {
             let entry = format!("service {}", pool.name);
-            findings.extend(check_pool(pool, &named).into_iter().map(|text| Finding {
-                entry: entry.clone(),
-                text,
-            }));
+            findings.extend(check_pool(pool).into_iter().map(|text| Finding::fault(&entry, text)));
+            if !named.contains(&pool.name) {
+                findings.push(Finding::note(&entry, "no route names it".to_owned()));
+            }
         }
         let limits = self.check_limits(memory);
-        findings.extend(limits.into_iter().map(|text| Finding {
-            entry: "limits".to_owned(),
-            text,
-        }));
+        findings.extend(limits.into_iter().map(|text| Finding::fault("limits", text)));
         if let Some(directory) = &self.tenants {
             findings.extend(check_tenants(directory));
         }
@@ -62,8 +78,6 @@
         for target in &route.targets {
             if !self.pools.contains_key(&target.pool) {
                 texts.push(format!("unknown service {}", target.pool));
-            } else if target.weight == 0 && route.targets.len() > 1 {
-                texts.push(format!("its part {} has weight 0 and gets no requests", target.pool));
             }
         }
         if route.timeout < route.objective {
@@ -121,11 +135,8 @@
     texts
 }
 
-fn check_pool(pool: &Pool, named: &BTreeSet<&PoolName>) -> Vec<String> {
+fn check_pool(pool: &Pool) -> Vec<String> {
     let mut texts = Vec::new();
-    if !named.contains(&pool.name) {
-        texts.push("no route names it".to_owned());
-    }
     if pool.connections == 0 {
         texts.push("its servers accept no connection".to_owned());
     }
@@ -139,12 +150,8 @@
     let holders: BTreeSet<_> = directory.credentials().map(|(_, tenant)| &tenant.name).collect();
     let mut findings = Vec::new();
     for tenant in directory.tenants() {
-        let mut add = |text: &str| {
-            findings.push(Finding {
-                entry: format!("tenant {}", tenant.name),
-                text: text.to_owned(),
-            });
-        };
+        let entry = format!("tenant {}", tenant.name);
+        let mut add = |text: &str| findings.push(Finding::fault(&entry, text.to_owned()));
         if !holders.contains(&tenant.name) {
             add("it has no key, so none of its requests is accepted");
         }
--- a/src/command/configuration.rs
+++ b/src/command/configuration.rs
@@ -45,7 +45,7 @@
     } else {
         format_text(&new, &findings, changes.as_deref())
     };
-    if findings.is_empty() {
+    if findings.iter().all(|(_, finding)| finding.is_note) {
         Ok(report)
     } else {
         Err(CommandError::Findings(report))
@@ -81,6 +81,7 @@
         let finding = Finding {
             entry: fault.entry.clone(),
             text: fault.text.clone(),
+            is_note: false,
         };
         (fault.line, finding)
     });
@@ -103,9 +104,12 @@
 fn format_text(new: &Decoded, findings: &[LocatedFinding], changes: Option<&[String]>) -> String {
     let mut lines: Vec<String> = findings
         .iter()
-        .map(|(line, finding)| format!("line {line}, {}: {}", finding.entry, finding.text))
+        .map(|(line, finding)| {
+            let note = if finding.is_note { "note: " } else { "" };
+            format!("{note}line {line}, {}: {}", finding.entry, finding.text)
+        })
         .collect();
-    if findings.is_empty() {
+    if findings.iter().all(|(_, finding)| finding.is_note) {
         lines.push(format!("valid: {}", describe(new)));
     }
     if let Some(changes) = changes {
@@ -122,8 +126,10 @@
 fn format_json(new: &Decoded, findings: &[LocatedFinding], changes: Option<&[String]>) -> String {
     let findings: Vec<_> = findings
         .iter()
-        .map(|(line, finding)| json!({ "line": line, "entry": finding.entry, "text": finding.text }))
+        .map(|(line, finding)| {
+            json!({ "line": line, "entry": finding.entry, "text": finding.text, "note": finding.is_note })
+        })
         .collect();
-    json!({ "subject": describe(new), "valid": findings.is_empty(), "findings": findings, "changes": changes })
-        .to_string()
+    let is_valid = findings.iter().all(|finding| finding["note"] == true);
+    json!({ "subject": describe(new), "valid": is_valid, "findings": findings, "changes": changes }).to_string()
 }
