--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -209,6 +209,33 @@
             format!("no route of configuration {} matches it", text(last, "configuration")),
             "check the host and path of the request against the configuration",
         ),
+        other => find_entry_cause(other),
+    }
+}
+
+/// Returns the cause of a refusal before an upstream is chosen, and advice for the operator.
+fn find_entry_cause(reason: &str) -> (String, &'static str) {
+    match reason {
+        "tenant-capped" => (
+            "its tenant had used up its cap at all hosts together; it didn't run".to_owned(),
+            "see `tenant has no token` for tenant and cap, and the metric `ragworthub_tenant_requests_total`",
+        ),
+        "cap-unknown" => (
+            "the keeper of the tenants' caps didn't answer in time; it didn't run".to_owned(),
+            "look for `grantor starts` and `grantor stops`, and for a slow or cut host that is the grantor",
+        ),
+        "unknown-credential" => (
+            "no tenant of the configuration that the host knew holds its credential".to_owned(),
+            "compare `configuration in force` with the version that has the credential",
+        ),
+        "credential-unsure" => (
+            "the host couldn't tell whether its credential had been removed; it didn't run".to_owned(),
+            "look for `credentials aren't accepted` and `store lost` at the host",
+        ),
+        "memory-full" => (
+            "the memory that the host may hold for callers was used up; it didn't run".to_owned(),
+            "see `body not read to its end` for the limit and the caller, and `ragworthub_held_bytes`",
+        ),
         other => (
             format!("refused as {other}"),
             "see the list of reasons in docs/OPERATIONS.md",
