Let the soak's callers have tenants, one with a credential that is removed during the run

Checks that upstreams get the tenant's name and no credential, and that no request with the removed one runs after the bound.

--- a/standins/src/soak/judge.rs
+++ b/standins/src/soak/judge.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::load::REMOVED_ID;
 use crate::server::{EventRecord, ServerEvent};
 
 /// Longest overlap that is allowed between the leases of two servers on a key, in milliseconds. It is
@@ -13,6 +14,11 @@
 /// The rule on owners doesn't count grants that are taken late.
 const RESUME_SLACK_MS: u64 = 300;
 
+/// Time after which no request with a removed credential may be accepted, in milliseconds, and time for which an accepted
+/// one may wait before it runs.
+const REMOVAL_BOUND_MS: u64 = 5_000;
+const REQUEST_TIME_MS: u64 = 2_500;
+
 /// A request of a caller and the response to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Outcome {
@@ -55,8 +61,13 @@
             violations.push(format!("{id} got {status}, which means that it didn't run, but it ran"));
         }
         let text = String::from_utf8_lossy(body);
-        let is_correct =
-            outcome.is_signed && count > 0 && text.contains(&format!("\"request\":\"{id}\"")) && text.ends_with('}');
+        // The upstream gets the tenant's name and not the caller's credential.
+        let is_correct = outcome.is_signed
+            && count > 0
+            && text.contains(&format!("\"request\":\"{id}\""))
+            && text.contains("\"tenant\":\"soak\"")
+            && text.contains("\"credential\":\"\"")
+            && text.ends_with('}');
         if *status == 200 && !is_correct {
             violations.push(format!(
                 "{id} got 200 with a wrong response: {text:?}, signed: {}, runs: {count}",
@@ -149,6 +160,23 @@
     violations
 }
 
+/// Returns the requests that ran although their credential had been removed so long before that each host must have
+/// refused them.
+pub(super) fn check_removal(records: &[EventRecord], removed_at: Option<u64>) -> Vec<String> {
+    let Some(last) = removed_at.map(|at| at + REMOVAL_BOUND_MS + REQUEST_TIME_MS) else {
+        return Vec::new();
+    };
+    let late = records.iter().filter(|record| record.at > last);
+    let late = late.filter_map(|record| match &record.event {
+        ServerEvent::Run(id, _) if id.starts_with(REMOVED_ID) => Some(format!(
+            "{id} ran {} ms after the bound on its removed credential",
+            record.at - last
+        )),
+        _ => None,
+    });
+    late.collect()
+}
+
 fn collect_leases(records: &[EventRecord]) -> Vec<Lease<'_>> {
     let mut ended: Vec<Lease<'_>> = Vec::new();
     let mut active: Vec<Lease<'_>> = Vec::new();
--- a/standins/src/soak/load.rs
+++ b/standins/src/soak/load.rs
@@ -26,6 +26,12 @@
 /// Probability that a caller opens a new connection although it has an open one.
 const RECONNECT_PROBABILITY: f64 = 0.02;
 
+/// Credential of all callers but one, and that of this one, which is removed during the run.
+pub(super) const CREDENTIAL: &str = "soak-key";
+pub(super) const REMOVED_CREDENTIAL: &str = "soak-removed-key";
+/// Start of the ids of the requests with the credential that is removed.
+pub(super) const REMOVED_ID: &str = "c0-";
+
 type Client = SendRequest<Empty<Bytes>>;
 
 /// The requests of all callers and the responses to them.
@@ -96,6 +102,15 @@
     send(client, id, method, path, key).await
 }
 
+/// Returns the credential of a request: one caller has a credential that is removed during the run.
+fn credential_of(id: &str) -> &'static str {
+    if id.starts_with(REMOVED_ID) {
+        REMOVED_CREDENTIAL
+    } else {
+        CREDENTIAL
+    }
+}
+
 /// Sends a request; see [`call`].
 pub(super) async fn send(
     client: &mut Client,
@@ -112,6 +127,7 @@
         .header("x-ragworthub-request-id", id)
         .header("x-ragworthub-deadline-ms", "2000")
         .header("x-ragworthub-shard-key", key.to_string())
+        .header("x-ragworthub-credential", credential_of(id))
         .body(Empty::new())
         .ok()?;
     let response = client.send_request(request).await.ok()?;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -25,11 +25,11 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::server::{EventRecord, ServerEvent, append_event, append_keyed_record};
+use crate::server::{EventRecord, ServerEvent, append_event, append_keyed_record, unix_ms};
 use crash::{CRASH_ID, check_crashes};
 use directives::check_directives;
-use judge::{check_fences, check_leases, check_requests};
-use load::{Outcomes, call, connect, run_caller};
+use judge::{check_fences, check_leases, check_removal, check_requests};
+use load::{CREDENTIAL, Outcomes, REMOVED_CREDENTIAL, call, connect, run_caller};
 use proxy::{LinkFault, Proxy};
 
 const GATEWAY_COUNT: usize = 3;
@@ -134,6 +134,10 @@
     crash_mode: &'static str,
     /// Version of the configuration that was published last.
     version: u32,
+    /// Published configurations no longer have the credential that is removed during the run.
+    removes_credential: bool,
+    /// When the store accepted the first of them, in Unix milliseconds.
+    removed_at: Option<u64>,
     report: Report,
 }
 
@@ -171,6 +175,11 @@
         let interval = Duration::from_millis(harness.rng.random_range(FAULT_INTERVAL_MS));
         harness.wait_until(Instant::now() + interval).await?;
         harness.inject_fault().await?;
+        if !harness.removes_credential && Instant::now() + fault_time / 2 > end {
+            harness.removes_credential = true;
+            let is_accepted = harness.publish_configuration().await.is_ok();
+            harness.record_action(&format!("credential removed, accepted: {is_accepted}"));
+        }
     }
     while let Some(last) = harness.pending.iter().map(|pending| pending.at).max() {
         harness.wait_until(last).await?;
@@ -191,6 +200,7 @@
     report.violations.extend(check_requests(&outcomes, &records));
     report.violations.extend(check_leases(&records));
     report.violations.extend(check_fences(&records));
+    report.violations.extend(check_removal(&records, harness.removed_at));
     report.violations.extend(check_directives(&records, directive_phase));
     report.violations.extend(check_crashes(&events));
     hold_watch.abort();
@@ -298,6 +308,8 @@
             left: BTreeSet::new(),
             crash_mode: CRASH_MODES[usize::try_from(seed % 5).unwrap_or_default()],
             version: 0,
+            removes_credential: false,
+            removed_at: None,
             report: Report::default(),
         };
         harness.publish_configuration().await?;
@@ -321,8 +333,20 @@
 
     async fn publish_configuration(&mut self) -> Result<(), String> {
         self.version += 1;
+        let removed = if self.removes_credential {
+            String::new()
+        } else {
+            format!(", \"{REMOVED_CREDENTIAL}\"")
+        };
+        let tenants =
+            format!("\"tenants\": [{{\"name\": \"soak\", \"api_keys\": [\"{CREDENTIAL}\"{removed}]}}], \"limits\"");
         let text = CONFIGURATION.replace("00000001", &format!("{:08x}", self.version));
-        append_keyed_record(self.store.address, "keyed.op", "config", text.as_bytes()).await
+        let text = text.replace("\"limits\"", &tenants);
+        append_keyed_record(self.store.address, "keyed.op", "config", text.as_bytes()).await?;
+        if self.removes_credential {
+            self.removed_at.get_or_insert_with(unix_ms);
+        }
+        Ok(())
     }
 
     fn start_server(&mut self, index: usize) -> Result<(), String> {
@@ -352,7 +376,7 @@
         );
         let settings = format!(
             "host: front-{index}\nzone: zone-{index}\nlisten: {{ callers: '{callers}', ready: '{any_port}', \
-             peers: '{any_port}', metrics: '{any_port}' }}\nstore: '{store}'\nbounds: ['grace=6s']\n"
+             peers: '{any_port}', metrics: '{any_port}' }}\nstore: '{store}'\nbounds: ['grace=6s', 'strict_revoke=true', 'revoke=5s']\n"
         );
         let path = self.folder.join(format!("front-{index}-{}.yaml", self.seed));
         fs::write(&path, settings).map_err(|e| e.to_string())?;
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -1,6 +1,6 @@
 use super::crash::check_crashes;
 use super::directives::{DirectivePhase, check_directives};
-use super::judge::{Outcome, check_fences, check_leases, check_requests};
+use super::judge::{Outcome, check_fences, check_leases, check_removal, check_requests};
 use crate::server::{EventRecord, ServerEvent};
 
 fn record(at: u64, server: &str, event: ServerEvent) -> EventRecord {
@@ -65,7 +65,7 @@
 #[test]
 fn check_requests_reports_wrong_responses_and_runs() {
     let one_run = [record(1, "a", ServerEvent::Run("r".to_owned(), None))];
-    let complete_body = "{\"request\":\"r\"}";
+    let complete_body = "{\"credential\":\"\",\"request\":\"r\",\"tenant\":\"soak\"}";
     assert!(check_requests(&[outcome(200, complete_body)], &one_run).is_empty());
     assert_eq!(
         check_requests(&[outcome(200, complete_body)], &[]).len(),
@@ -76,6 +76,10 @@
         check_requests(&[outcome(200, "{\"request\":\"s\"}")], &one_run).len(),
         1
     );
+    for (from, to) in [("\"soak\"", "\"other\""), ("\"\"", "\"soak-key\"")] {
+        let body = complete_body.replacen(from, to, 1);
+        assert_eq!(check_requests(&[outcome(200, &body)], &one_run).len(), 1, "{body}");
+    }
     assert_eq!(check_requests(&[outcome(503, "")], &one_run).len(), 1);
     assert_eq!(check_requests(&[], &one_run).len(), 1, "no caller sent it");
     let two_runs = [one_run[0].clone(), one_run[0].clone()];
@@ -166,3 +170,13 @@
     assert_eq!(check_fences(&[grant(0, 5), end.clone(), grant(900, 5)]).len(), 1);
     assert!(check_fences(&[grant(0, 5), grant(400, 5), end, grant(900, 6)]).is_empty());
 }
+
+/// Guards against a check that misses a request that runs long after its credential was removed.
+#[test]
+fn check_removal_reports_late_runs() {
+    let run = |at, id: &str| record(at, "a", ServerEvent::Run(id.to_owned(), None));
+    let records = [run(1_000, "c0-1"), run(9_000, "c0-2"), run(9_000, "c1-2")];
+    assert_eq!(check_removal(&records, Some(1_000)).len(), 1);
+    assert!(check_removal(&records, Some(2_000)).is_empty());
+    assert!(check_removal(&records, None).is_empty());
+}
