Keep a too large message about speeds from becoming a refresh

Cause: any message that was too large for a datagram became a refresh, at which all hosts read the store, also a message about the learned speeds, which the store doesn't have. Found by reading, not seen on a deployment.

Change: only changes of owners become a refresh, relayed records lose their values, and other messages are not sent, with a warning. Speeds travel one pool a message, without upstreams within 7% of the average.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -303,6 +303,14 @@
         names.filter_map(|name| self.upstreams.get(name))
     }
 
+    /// Returns the upstreams of a pool in any state, to be changed.
+    pub(crate) fn in_pool_mut<'a>(&'a mut self, pool: &PoolName) -> impl Iterator<Item = &'a mut Upstream> {
+        let names = self.pools.get(pool);
+        let upstreams = self.upstreams.iter_mut();
+        upstreams
+            .filter_map(move |(name, upstream)| names.is_some_and(|names| names.contains(name)).then_some(upstream))
+    }
+
     /// Reports whether an upstream accepts requests that any upstream of its pool may run.
     pub(crate) fn is_in_service(&self, upstream: &Upstream) -> bool {
         upstream.is_staying() && !self.is_closed(&upstream.announcement.zone)
--- a/src/fleet/speeds.rs
+++ b/src/fleet/speeds.rs
@@ -18,6 +18,8 @@
 const PRIOR_COUNT: f64 = 4.0;
 /// Range of the estimates, relative to the pool's average; beyond it an upstream is ejected or takes what comes.
 const RATIO_RANGE: (f64, f64) = (0.3, 4.0);
+/// Deviation from the average in percent up to which an upstream counts as average.
+const USUAL_PERCENT: u16 = 7;
 /// Range to which one observation is clamped, relative to the objective of its route, to limit outliers.
 const SAMPLE_RANGE: (f64, f64) = (0.001, 8.0);
 /// Unit in which sums travel between hosts: thousandths of the objective.
@@ -148,6 +150,12 @@
 pub(crate) type Speeds = BTreeMap<PoolName, PoolSpeeds>;
 
 impl PoolSpeeds {
+    /// Leaves out the upstreams of about the average speed, which an upstream that isn't named has.
+    pub(crate) fn without_usual(mut self) -> Self {
+        self.percents.retain(|_, percent| percent.abs_diff(100) > USUAL_PERCENT);
+        self
+    }
+
     /// Returns the service time of an upstream relative to the pool's average.
     pub(crate) fn ratio(&self, upstream: &UpstreamName) -> f64 {
         self.percents
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -357,27 +357,24 @@
         let messages = std::mem::take(&mut *gateway.outbox.messages.borrow_mut());
         let readers = reader_addresses(&gateway);
         for (recipients, message) in messages {
-            let addresses = match &recipients {
-                Recipients::All => Vec::new(),
-                Recipients::Readers => readers.clone(),
-                Recipients::One(host) => gateway
-                    .hosts
-                    .borrow()
-                    .get(host)
-                    .map(|host| host.peers)
-                    .into_iter()
-                    .collect(),
+            let (addresses, forwarders) = match &recipients {
+                Recipients::All => plan_fan_out(&gateway),
+                Recipients::Readers => (readers.clone(), Vec::new()),
+                Recipients::One(host) => {
+                    let address = gateway.hosts.borrow().get(host).map(|host| host.peers);
+                    (address.into_iter().collect(), Vec::new())
+                }
             };
             let kind = message.kind();
             let mut bytes = encode(&message);
             if bytes.len() > MESSAGE_MAX_BYTES {
-                bytes = encode(&shrink(message));
+                let Some(short) = shrink(message) else {
+                    warn!(gateway.log, "message to other hosts is too large and not sent"; "kind" => kind,
+                        "bytes" => bytes.len());
+                    continue;
+                };
+                bytes = encode(&short);
             }
-            let (addresses, forwarders) = if recipients == Recipients::All {
-                plan_fan_out(&gateway)
-            } else {
-                (addresses, Vec::new())
-            };
             let count = addresses.len();
             gateway.metrics.count_message(Direction::Sent, kind, bytes.len(), count);
             for address in addresses {
@@ -450,14 +447,18 @@
     (direct, forwarders)
 }
 
-/// Returns a short message in place of one that is too large.
+/// Returns a short message in place of one that is too large; `None` if the store doesn't have what it is about.
 ///
-/// Receivers read omitted records and key owners from the store. `CrashReports` isn't in the store, so it is split
-/// before it is too large.
-fn shrink(message: Message) -> Message {
+/// Receivers read omitted records and key owners from the store. Messages that aren't in the store are kept short where they
+/// are made.
+pub(super) fn shrink(message: Message) -> Option<Message> {
     match message {
-        Message::Relay(deltas) => Message::Relay(deltas.into_iter().map(TopicDelta::without_updates).collect()),
-        _ => Message::Refresh,
+        Message::Relay(deltas) => {
+            let deltas = deltas.into_iter().map(TopicDelta::without_updates);
+            Some(Message::Relay(deltas.collect()))
+        }
+        Message::OwnersChanged(_) => Some(Message::Refresh),
+        _ => None,
     }
 }
 
--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -79,20 +79,21 @@
     let Some(catalog) = gateway.catalog.borrow().clone() else {
         return;
     };
-    let mut speeds = Speeds::new();
-    {
-        let fleet = gateway.fleet.borrow();
-        let mut book = gateway.grants.speed_book.borrow_mut();
-        book.retain(|upstream| fleet.get(upstream).is_some());
-        for pool in catalog.pools.keys() {
+    for pool in catalog.pools.keys() {
+        let learned = {
+            let fleet = gateway.fleet.borrow();
+            let mut book = gateway.grants.speed_book.borrow_mut();
+            book.retain(|upstream| fleet.get(upstream).is_some());
             let members = fleet.in_pool(pool).map(|upstream| &upstream.announcement.upstream);
-            if let Some(learned) = book.speeds(now, members) {
-                speeds.insert(pool.clone(), learned);
-            }
+            book.speeds(now, members)
+        };
+        // One message for each pool, without upstreams of about the usual speed, fits a datagram.
+        if let Some(learned) = learned {
+            let speeds = Speeds::from([(pool.clone(), learned.without_usual())]);
+            gateway.outbox.send(Message::Speeds(speeds.clone()));
+            apply_speeds(gateway, speeds);
         }
     }
-    gateway.outbox.send(Message::Speeds(speeds.clone()));
-    apply_speeds(gateway, speeds);
 }
 
 /// Takes over the speeds that the grantor has learned.
@@ -101,12 +102,11 @@
         return;
     }
     let mut fleet = gateway.fleet.borrow_mut();
-    for pool in speeds.values() {
-        for upstream in pool.percents.keys() {
-            if let Some(entry) = fleet.get_mut(upstream) {
-                entry.load.set_typical_ratio(pool.ratio(upstream));
-            }
+    for (pool, speeds) in &speeds {
+        for upstream in fleet.in_pool_mut(pool) {
+            let ratio = speeds.ratio(&upstream.announcement.upstream);
+            upstream.load.set_typical_ratio(ratio);
         }
     }
-    *gateway.speeds.borrow_mut() = speeds;
+    gateway.speeds.borrow_mut().extend(speeds);
 }
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -1,6 +1,8 @@
 //! Encoding of datagrams between hosts.
 
-use crate::gateway::peers::{Message, decode, encode};
+use crate::fleet::{PoolSpeeds, Speeds};
+use crate::gateway::peers::{Message, decode, encode, shrink};
+use crate::keys::KeyTable;
 use crate::platform::Record;
 use crate::relay::{Topic, TopicDelta, Update};
 use crate::types::Offset;
@@ -57,3 +59,36 @@
         assert!(decode(bad).is_err(), "{bad:?}");
     }
 }
+
+/// Guards against all hosts reading the whole store because a message that the store doesn't hold was too large.
+#[test]
+fn only_changes_in_the_store_become_a_refresh() {
+    assert_eq!(shrink(Message::Speeds(Speeds::new())), None);
+    let before = KeyTable::new(
+        "tiles".parse().expect("valid pool"),
+        "h1".parse().expect("valid host"),
+        1,
+    );
+    let delta = before.delta_since(&before);
+    assert_eq!(shrink(Message::OwnersChanged(delta)), Some(Message::Refresh));
+}
+
+/// Guards against learned speeds that don't reach the other hosts because the message is too large.
+#[test]
+fn speeds_of_a_large_pool_fit_one_datagram() {
+    let percent = |number: u64| 50 + (number * 7_919 % 111) as u16;
+    let percents = (0..1_000).map(|number| {
+        let name = format!("up-{:05}", number * 7);
+        (name.parse().expect("valid name"), percent(number))
+    });
+    let speeds = PoolSpeeds {
+        average: 300,
+        percents: percents.collect(),
+    };
+    let message = Message::Speeds(Speeds::from([(
+        "tiles".parse().expect("valid pool"),
+        speeds.without_usual(),
+    )]));
+    let bytes = encode(&message);
+    assert!(bytes.len() <= MESSAGE_MAX_BYTES, "{} bytes", bytes.len());
+}
