--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -165,8 +165,9 @@
     findings
 }
 
+#[expect(clippy::cast_precision_loss, reason = "sizes of memory, far below 2^52 bytes")]
 fn to_f64(bytes: usize) -> f64 {
-    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
+    bytes as f64
 }
 
 /// Describes what a configuration changes for callers, compared with the one in force.
