Log changes of the acceptance of credentials, not each check

Cause: the comparison with the state before was inverted, so each check while credentials were accepted logged that they are accepted again, and the change to unsure was not logged.

Change: the state is logged when it changes.

No test guards this.

--- a/src/gateway/tenancy.rs
+++ b/src/gateway/tenancy.rs
@@ -331,7 +331,8 @@
 }
 
 fn record_acceptance(gateway: &Gateway, is_accepted: bool) {
-    if gateway.tenancy.is_unsure.replace(!is_accepted) == is_accepted {
+    let is_unsure = !is_accepted;
+    if gateway.tenancy.is_unsure.replace(is_unsure) == is_unsure {
         return;
     }
     if is_accepted {
