--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -362,7 +362,7 @@
         } else {
             "the owner is lost, leaving, unresponsive or out of service"
         };
-        log_moves(gateway, name, why, &moves);
+        record_moves(gateway, name, why, &moves);
         pool.grantor.apply(&moves);
     }
     if !is_due {
@@ -383,7 +383,7 @@
             pool.last_even = now;
         }
         let moves = plan_balance(pool.grantor.table(), &candidates, &pool.rates, evens_out);
-        log_moves(gateway, name, "balance", &moves);
+        record_moves(gateway, name, "balance", &moves);
         pool.grantor.apply(&moves);
     }
     if now < pool.last_watch + WATCH_PERIOD {
@@ -440,7 +440,8 @@
     limits.reduce(f64::min)
 }
 
-fn log_moves(gateway: &Gateway, pool: &PoolName, why: &str, moves: &[Move]) {
+fn record_moves(gateway: &Gateway, pool: &PoolName, why: &str, moves: &[Move]) {
+    gateway.metrics.count_moves(moves.len());
     for key_move in moves {
         info!(gateway.log, "keys move"; "pool" => %pool, "keys" => %key_move.range,
             "owner" => %key_move.owner.upstream,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -270,12 +270,20 @@
             hosts: self.hosts.borrow().len(),
             is_grantor: self.grants.is_grantor(),
             is_degraded: self.store.is_degraded(now),
+            learned_times: self.learned_times(),
             held: Holder::ALL.map(|holder| (holder, self.memory.held(holder))).into(),
             memory_limit: self.memory.total(),
             callers: self.caller_connections.get(),
         }
     }
 
+    /// Returns the lowest and the highest service time learned of an upstream, in percent of the average of its pool.
+    fn learned_times(&self) -> Option<(u16, u16)> {
+        let speeds = self.speeds.borrow();
+        let percents = || speeds.values().flat_map(|pool| pool.percents.values().copied());
+        percents().min().zip(percents().max())
+    }
+
     /// Replaces the key table of a pool with a newer one.
     pub(crate) fn install_table(&self, now: Instant, table: KeyTable) {
         let mut moving = self.moving_since.borrow_mut();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -62,6 +62,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ExtremeLabels {
+    upstream: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct HolderLabels {
     holder: &'static str,
@@ -101,6 +106,9 @@
     lease_calls: Family<CallLabels, Counter>,
     connections: Family<ConnectionLabels, Counter>,
     closed_callers: Family<ReasonLabels, Counter>,
+    key_moves: Counter,
+    /// Service times learned of the fastest and the slowest upstream.
+    learned_times: Family<ExtremeLabels, Gauge>,
     tenants: Family<TenantLabels, Counter>,
     /// Tenants with a series of their own.
     known_tenants: RefCell<BTreeSet<TenantName>>,
@@ -128,6 +136,8 @@
     pub(crate) hosts: usize,
     pub(crate) is_grantor: bool,
     pub(crate) is_degraded: bool,
+    /// Lowest and highest service time learned of an upstream, in percent of the average of its pool.
+    pub(crate) learned_times: Option<(u16, u16)>,
     /// Bytes held by purpose.
     pub(crate) held: BTreeMap<Holder, usize>,
     pub(crate) memory_limit: usize,
@@ -157,6 +167,8 @@
             lease_calls: Family::default(),
             connections: Family::default(),
             closed_callers: Family::default(),
+            key_moves: Counter::default(),
+            learned_times: Family::default(),
             tenants: Family::default(),
             known_tenants: RefCell::default(),
             held_bytes: Family::default(),
@@ -266,7 +278,7 @@
         );
     }
 
-    /// Registers what is held for callers and upstreams, and what was closed for want of room.
+    /// Registers what is held for callers and upstreams, what was closed for want of room, caps, and placement.
     fn register_holdings(&mut self) {
         let r = &mut self.registry;
         r.register(
@@ -274,6 +286,16 @@
             "Connections of callers that were closed or refused for want of room, by reason",
             self.closed_callers.clone(),
         );
+        r.register(
+            "key_moves",
+            "Moves of keys that this host has planned",
+            self.key_moves.clone(),
+        );
+        r.register(
+            "learned_service_time_percent",
+            "Learned service time of the fastest and the slowest upstream, relative to its pool",
+            self.learned_times.clone(),
+        );
         r.register(
             "tenant_requests",
             "Requests by tenant and outcome at the cap",
@@ -301,6 +323,11 @@
         self.closed_callers.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts moves of keys that this host has planned.
+    pub(crate) fn count_moves(&self, moves: usize) {
+        self.key_moves.inc_by(moves as u64);
+    }
+
     /// Counts a request of a tenant, which its cap admits or refuses for a reason. Tenants beyond a number share a series.
     pub(crate) fn count_tenant(&self, tenant: &TenantName, refusal: Option<Reason>) {
         let mut known = self.known_tenants.borrow_mut();
@@ -395,6 +422,12 @@
             };
             self.held_bytes.get_or_create(&labels).set(count(bytes));
         }
+        let (fastest, slowest) = snapshot.learned_times.unwrap_or((100, 100));
+        for (upstream, percent) in [("fastest", fastest), ("slowest", slowest)] {
+            self.learned_times
+                .get_or_create(&ExtremeLabels { upstream })
+                .set(percent.into());
+        }
         self.memory_limit.set(count(snapshot.memory_limit));
         self.caller_connections.set(count(snapshot.callers));
         let seconds = |age: Option<Duration>| age.map_or(UNKNOWN_AGE_SECONDS, |age| age.as_secs_f64());
