Log what shows whether a rejected request was the caller's fault

Cause: the lines about a 404 had neither host, path, version nor age of the configuration; a body that wasn't read didn't say whether the deadline, a pause or broken framing was the reason; heads that the HTTP library answers itself (400, 414, 431) and unsigned 3xx and 4xx of upstreams left no line at all.

No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -279,6 +279,10 @@
     }
     let is_intact =
         !status.is_success() || (headers.contains_key(SIGNATURE) && !headers.contains_key(CONTENT_ENCODING));
+    if (status.is_redirection() || status.is_client_error()) && !headers.contains_key(SIGNATURE) {
+        warn!(gateway.log, "response without a signature blames the caller"; "upstream" => %upstream,
+            "request" => ctx.id.to_str().unwrap_or_default(), "status" => status.as_u16());
+    }
     if !is_intact || status.is_informational() {
         guard.end_run(RunEnd::Broken);
         request_check(gateway, &upstream);
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests: read completely before the first attempt, within the memory budget.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -7,10 +8,12 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use thiserror::Error;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::memory::{Holder, MemoryBudget, Reservation};
 use crate::types::Reason;
@@ -146,35 +149,77 @@
     }
 }
 
-/// Reads a body. One that is announced as too large, or that the budget has no room for, isn't read.
+/// Why a body wasn't read to its end.
+#[derive(Debug, Display, Error)]
+pub(super) enum BodyFault {
+    /// larger than the limit
+    TooLarge,
+    /// no room in the memory budget
+    NoMemory,
+    /// deadline passed
+    DeadlinePassed,
+    /// no byte for {0:?}
+    Stalled(Duration),
+    /// connection or framing broke: {0}
+    Broken(hyper::Error),
+}
+
+impl BodyFault {
+    pub(super) fn reason(&self) -> Reason {
+        match self {
+            Self::TooLarge => Reason::BodyTooLarge,
+            Self::NoMemory => Reason::MemoryFull,
+            Self::DeadlinePassed | Self::Stalled(_) | Self::Broken(_) => Reason::BodyIncomplete,
+        }
+    }
+}
+
+/// Reads a body until the deadline, and counts the received bytes. A body that is announced as too large, or that the
+/// budget has no room for, isn't read.
 ///
 /// # Errors
 ///
-/// Fails with the reason for which the request has to be refused.
-pub(super) async fn read_body(budget: &MemoryBudget, mut body: Incoming, limit: usize) -> Result<BufferedBody, Reason> {
+/// Fails with the fault for which the request has to be refused.
+pub(super) async fn read_body(
+    budget: &MemoryBudget,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+    received: &Cell<usize>,
+) -> Result<BufferedBody, BodyFault> {
+    let read = timeout_at(deadline, read_frames(budget, body, limit, received)).await;
+    read.unwrap_or(Err(BodyFault::DeadlinePassed))
+}
+
+async fn read_frames(
+    budget: &MemoryBudget,
+    mut body: Incoming,
+    limit: usize,
+    received: &Cell<usize>,
+) -> Result<BufferedBody, BodyFault> {
     if body.is_end_stream() {
         return Ok(BufferedBody::default());
     }
     let announced = body.size_hint().exact();
     let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
     if announced.is_some_and(|length| length > limit) {
-        return Err(Reason::BodyTooLarge);
+        return Err(BodyFault::TooLarge);
     }
-    let mut buffer = BodyBuffer::new(budget, announced).ok_or(Reason::MemoryFull)?;
+    let mut buffer = BodyBuffer::new(budget, announced).ok_or(BodyFault::NoMemory)?;
     while let Some(frame) = timeout(STALL_MAX, body.frame())
         .await
-        .map_err(|_| Reason::BodyIncomplete)?
+        .map_err(|_| BodyFault::Stalled(STALL_MAX))?
     {
-        let frame = frame.map_err(|_| Reason::BodyIncomplete)?;
-        let Ok(data) = frame.into_data() else {
+        let Ok(data) = frame.map_err(BodyFault::Broken)?.into_data() else {
             continue;
         };
         if buffer.length + data.len() > limit {
-            return Err(Reason::BodyTooLarge);
+            return Err(BodyFault::TooLarge);
         }
         if !buffer.push(&data) {
-            return Err(Reason::MemoryFull);
+            return Err(BodyFault::NoMemory);
         }
+        received.set(buffer.length);
     }
     Ok(buffer.finish())
 }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::framing::{CONNECTION_BYTES, Caller, CallerStream, linger};
+use super::rejections::record_rejected_head;
 use super::request::serve;
 use super::state::Gateway;
 use crate::memory::{Holder, Reservation};
@@ -164,19 +165,21 @@
     if gateway.is_draining.get() {
         connection.as_mut().graceful_shutdown();
     }
-    tokio::select! {
-        // An error concerns only the caller of this connection, who sees it too.
-        _ = connection.as_mut() => {}
-        () = caller.wait_for_close() => {}
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = caller.wait_for_close() => Ok(()),
         () = drain_started => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
-                _ = connection.as_mut() => {}
-                () = caller.wait_for_close() => {}
+                result = connection.as_mut() => result,
+                () = caller.wait_for_close() => Ok(()),
             }
         }
-    }
+    };
     drop(connection);
+    if let Err(error) = result {
+        record_rejected_head(&gateway, &caller, &error);
+    }
     gateway.caller_connections.set(gateway.caller_connections.get() - 1);
     linger(stream, &caller).await;
     gateway.callers.borrow_mut().remove(caller.number());
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -93,6 +93,11 @@
             .any(|h| h.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()))
     }
 
+    /// Returns the number of bytes kept of the head that the connection is reading.
+    pub(crate) fn head_length(&self) -> usize {
+        self.0.head.borrow().len()
+    }
+
     /// Records that the head of a request has arrived.
     pub(crate) fn begin_request(&self, has_body: bool) {
         let state = if has_body {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod grants;
 mod orders;
 mod peers;
+mod rejections;
 mod request;
 mod speeds;
 mod state;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Serves one request: finds its route, chooses upstreams, makes attempts and returns the response.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use slog::{info, warn};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::answer::{CallerBody, Refusal, ResponseBody, strip_hop_by_hop_headers};
 use super::attempt::attempt_once;
@@ -19,12 +20,12 @@
 use super::choose::choose_upstream;
 use super::counting::count_request;
 use super::framing::Caller;
+use super::rejections::{ExpectedBody, log_unmatched, log_unread_body};
 use super::state::Gateway;
 use super::tenancy::{identify, return_token, set_tenant_headers, take_token};
 use crate::budget::RequestClass;
 use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
-use crate::memory::Holder;
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, REQUEST_ID, SHARD_KEY};
 use crate::tenants::Tenant;
 use crate::types::{PoolName, Reason, UpstreamName, Verdict};
@@ -141,7 +142,7 @@
             result.unwrap_or_else(|refusal| refusal.into_response(id.as_ref()))
         }
         Err(refusal) if refusal.leaves_body_unread() => {
-            log_unread_body(&gateway, id.as_ref(), refusal, &caller);
+            gateway.metrics.count_refusal(refusal.reason);
             caller.leave_body_unread();
             refusal.into_response(id.as_ref())
         }
@@ -157,21 +158,6 @@
     Ok(response.map(|body| CallerBody::new(body, caller)))
 }
 
-/// Logs a body that wasn't read, with what an operator needs to find the client.
-fn log_unread_body(gateway: &Gateway, id: Option<&HeaderValue>, refusal: Refusal, caller: &Caller) {
-    gateway.metrics.count_refusal(refusal.reason);
-    let limit = gateway
-        .catalog
-        .borrow()
-        .as_ref()
-        .map(|catalog| catalog.limits.body_bytes);
-    warn!(gateway.log, "body not read to its end; the connection closes";
-        "request" => id.and_then(|id| id.to_str().ok()).unwrap_or_default(), "reason" => refusal.reason.as_str(),
-        "verdict" => refusal.verdict.as_str(), "status" => refusal.status().as_u16(), "body_limit" => limit,
-        "held" => gateway.memory.held(Holder::Body), "memory_limit" => gateway.memory.total(),
-        "caller" => %caller.address());
-}
-
 fn record_result(gateway: &Gateway, ctx: &RequestContext, result: &Result<Response<ResponseBody>, Refusal>) {
     let id = ctx.id.to_str().unwrap_or_default();
     let ms = u64::try_from(ctx.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -232,7 +218,10 @@
     }
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let (host, path) = find_target(&head.uri, host);
-    let route = catalog.find_route(host, path).ok_or(refuse(Reason::NoRoute))?.clone();
+    let Some(route) = catalog.find_route(host, path).cloned() else {
+        log_unmatched(gateway, &id, &catalog, host, path);
+        return Err(refuse(Reason::NoRoute));
+    };
     let caller_timeout = match head.headers.get(DEADLINE) {
         None => None,
         Some(value) => {
@@ -256,12 +245,15 @@
             .count_tenant(&tenant.name, result.as_ref().err().map(|refusal| refusal.reason));
         result.map_err(|refusal| log_capped(gateway, &id, tenant, refusal))?;
     }
-    let limit = catalog.limits.body_bytes;
-    let body = timeout_at(deadline, read_body(&gateway.memory, body, limit)).await;
-    let body = body.unwrap_or(Err(Reason::BodyIncomplete)).map_err(|reason| {
-        let retry_after = (reason == Reason::MemoryFull).then(|| draw_retry_after(gateway, MEMORY_RETRY_AFTER_MS));
-        Refusal::not_run(reason, retry_after)
-    })?;
+    let expected = ExpectedBody {
+        id: &id,
+        route: &route.name,
+        arrived,
+        deadline,
+        announced: body.size_hint().exact(),
+        limit: catalog.limits.body_bytes,
+    };
+    let body = receive_body(gateway, caller, body, &expected).await?;
     caller.begin_serving();
     strip_hop_by_hop_headers(&mut head.headers);
     for name in [CONTENT_LENGTH, EXPECTED_INSTANCE] {
@@ -304,6 +296,27 @@
     })
 }
 
+/// Reads the body of a request.
+async fn receive_body(
+    gateway: &Gateway,
+    caller: &Caller,
+    body: Incoming,
+    expected: &ExpectedBody<'_>,
+) -> Result<BufferedBody, Refusal> {
+    if body.is_end_stream() {
+        return Ok(BufferedBody::default());
+    }
+    let received = Cell::new(0);
+    let result = read_body(&gateway.memory, body, expected.limit, expected.deadline, &received).await;
+    gateway.metrics.observe_body_time(expected.arrived.elapsed());
+    result.map_err(|fault| {
+        log_unread_body(gateway, caller, expected, received.get(), &fault);
+        let reason = fault.reason();
+        let retry_after = (reason == Reason::MemoryFull).then(|| draw_retry_after(gateway, MEMORY_RETRY_AFTER_MS));
+        Refusal::not_run(reason, retry_after)
+    })
+}
+
 /// Logs which tenant's cap a refusal is about, and returns the refusal.
 fn log_capped(gateway: &Gateway, id: &HeaderValue, tenant: &Tenant, refusal: Refusal) -> Refusal {
     warn!(gateway.log, "tenant has no token"; "request" => id.to_str().unwrap_or_default(),
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -98,6 +98,8 @@
     failures: Family<ReasonLabels, Counter>,
     retries: Family<ReasonLabels, Counter>,
     latencies: Family<RouteLabels, Histogram>,
+    /// Times from the head of a request to the end of its body.
+    body_times: Histogram,
     crashes: Counter,
     /// Datagrams between hosts, and their bytes.
     messages: Family<MessageLabels, Counter>,
@@ -160,6 +162,7 @@
             failures: Family::default(),
             retries: Family::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_SECONDS)),
+            body_times: Histogram::new(LATENCY_BUCKETS_SECONDS),
             crashes: Counter::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
@@ -280,6 +283,11 @@
 
     /// Registers what is held for callers and upstreams, what was closed for want of room, caps, and placement.
     fn register_holdings(&mut self) {
+        self.registry.register(
+            "body_seconds",
+            "Time from the head of a request to the end of its body",
+            self.body_times.clone(),
+        );
         let r = &mut self.registry;
         r.register(
             "closed_callers",
@@ -352,6 +360,10 @@
         self.latencies.get_or_create(&labels).observe(time.as_secs_f64());
     }
 
+    pub(crate) fn observe_body_time(&self, time: Duration) {
+        self.body_times.observe(time.as_secs_f64());
+    }
+
     pub(crate) fn count_refusal(&self, reason: Reason) {
         self.refusals
             .get_or_create(&ReasonLabels {
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -88,6 +88,10 @@
     KeyMissing = "key-missing", 400;
     /// A header of the request doesn't parse, or its framing is ambiguous.
     BadHeader = "bad-header", 400;
+    /// The HTTP library can't parse the head of a request, and answered it.
+    BadHead = "bad-head", 400;
+    /// The head of a request exceeds a limit of the HTTP library, which answered it.
+    HeadTooLarge = "head-too-large", 431;
     /// The path has an invalid percent escape.
     BadPath = "bad-path", 400;
     /// The body is larger than the configuration allows.
