Refuse a late body with 408, so that the caller may send it again

Cause: a body that wasn't complete at its deadline, or of which no byte came for 10 s, was answered 400 `body-incomplete`, as if its framing were wrong. Callers never repeat a request after 400, although nothing had been sent to an upstream and the cause may be the network or a host short of processor time. A process that was held up past the deadline also answered 400 when it resumed, although the whole body waited in its socket: it read one piece, and the deadline ended the reading.

Change: a late body is refused as `body-late` with 408, verdict not-run, a short `Retry-After` and `Connection: close`. Invalid framing and a connection that ends within the body stay 400. Past the deadline, what has already arrived is read for up to 32 turns of the scheduler; a body that is complete then takes the usual path, which refuses it at once with 503 because no upstream can respond in time.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -236,6 +236,10 @@
             "the memory that the host may hold for callers was used up; it didn't run".to_owned(),
             "see `body not read to its end` for the limit and the caller, and `ragworthub_held_bytes`",
         ),
+        "body-late" => (
+            "its body hadn't arrived completely when its time passed; it didn't run".to_owned(),
+            "compare `received` with `announced`; look for a slow caller or network, or a host short of processor time",
+        ),
         other => (
             format!("refused as {other}"),
             "see the list of reasons in docs/OPERATIONS.md",
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -276,7 +276,7 @@
     pub(crate) fn leaves_body_unread(self) -> bool {
         matches!(
             self.reason,
-            Reason::BodyTooLarge | Reason::BodyIncomplete | Reason::MemoryFull
+            Reason::BodyTooLarge | Reason::BodyIncomplete | Reason::BodyLate | Reason::MemoryFull
         )
     }
 
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -13,13 +13,17 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout_at};
 
 use crate::memory::{Holder, MemoryBudget, Reservation};
 use crate::types::Reason;
 
 /// Time without a byte after which a body is given up.
 const STALL_MAX: Duration = Duration::from_secs(10);
+/// Number of turns of the scheduler for which a body is still read after its time has passed. If the process was held up,
+/// bytes that arrived in time are still in the socket.
+const LATE_TURNS_MAX: usize = 32;
 /// Size of a segment of a large body.
 const SEGMENT_BYTES: usize = 64 << 10;
 /// Size of the first segment of a body whose length isn't announced.
@@ -169,7 +173,8 @@
         match self {
             Self::TooLarge => Reason::BodyTooLarge,
             Self::NoMemory => Reason::MemoryFull,
-            Self::DeadlinePassed | Self::Stalled(_) | Self::Broken(_) => Reason::BodyIncomplete,
+            Self::DeadlinePassed | Self::Stalled(_) => Reason::BodyLate,
+            Self::Broken(_) => Reason::BodyIncomplete,
         }
     }
 }
@@ -181,20 +186,10 @@
 ///
 /// Fails with the fault for which the request has to be refused.
 pub(super) async fn read_body(
-    budget: &MemoryBudget,
-    body: Incoming,
-    limit: usize,
-    deadline: Instant,
-    received: &Cell<usize>,
-) -> Result<BufferedBody, BodyFault> {
-    let read = timeout_at(deadline, read_frames(budget, body, limit, received)).await;
-    read.unwrap_or(Err(BodyFault::DeadlinePassed))
-}
-
-async fn read_frames(
     budget: &MemoryBudget,
     mut body: Incoming,
     limit: usize,
+    deadline: Instant,
     received: &Cell<usize>,
 ) -> Result<BufferedBody, BodyFault> {
     if body.is_end_stream() {
@@ -206,11 +201,9 @@
         return Err(BodyFault::TooLarge);
     }
     let mut buffer = BodyBuffer::new(budget, announced).ok_or(BodyFault::NoMemory)?;
-    while let Some(frame) = timeout(STALL_MAX, body.frame())
-        .await
-        .map_err(|_| BodyFault::Stalled(STALL_MAX))?
-    {
-        let Ok(data) = frame.map_err(BodyFault::Broken)?.into_data() else {
+    let mut late_turns = LATE_TURNS_MAX;
+    while let Some(frame) = read_frame(&mut body, deadline, &mut late_turns).await? {
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         if buffer.length + data.len() > limit {
@@ -223,3 +216,27 @@
     }
     Ok(buffer.finish())
 }
+
+/// Reads the next frame of a body; `None` at its end. After the deadline, it takes what has already arrived, one turn of
+/// the scheduler at a time.
+async fn read_frame(
+    body: &mut Incoming,
+    deadline: Instant,
+    late_turns: &mut usize,
+) -> Result<Option<Frame<Bytes>>, BodyFault> {
+    let stall_end = Instant::now() + STALL_MAX;
+    let end = deadline.min(stall_end);
+    loop {
+        if Instant::now() >= end {
+            *late_turns = late_turns.checked_sub(1).ok_or(if deadline <= stall_end {
+                BodyFault::DeadlinePassed
+            } else {
+                BodyFault::Stalled(STALL_MAX)
+            })?;
+        }
+        if let Ok(frame) = timeout_at(end, body.frame()).await {
+            return frame.transpose().map_err(BodyFault::Broken);
+        }
+        yield_now().await;
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -30,8 +30,8 @@
 use crate::tenants::Tenant;
 use crate::types::{PoolName, Reason, UpstreamName, Verdict};
 
-/// Range that `Retry-After` is drawn from while no upstream can take a request: about the duration of a
-/// few requests.
+/// Range that `Retry-After` is drawn from while no upstream can take a request, and for a late body: about the duration of
+/// a few requests.
 const RETRY_AFTER_MS: (u64, u64) = (40, 160);
 /// Time after the start of the process in which other hosts tell it of requests that crash upstreams. Until then it sends
 /// no request again that may have run, as it can't tell whether the request caused the failure.
@@ -312,8 +312,12 @@
     result.map_err(|fault| {
         log_unread_body(gateway, caller, expected, received.get(), &fault);
         let reason = fault.reason();
-        let retry_after = (reason == Reason::MemoryFull).then(|| draw_retry_after(gateway, MEMORY_RETRY_AFTER_MS));
-        Refusal::not_run(reason, retry_after)
+        let range = match reason {
+            Reason::MemoryFull => Some(MEMORY_RETRY_AFTER_MS),
+            Reason::BodyLate => Some(RETRY_AFTER_MS),
+            _ => None,
+        };
+        Refusal::not_run(reason, range.map(|range| draw_retry_after(gateway, range)))
     })
 }
 
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -98,8 +98,10 @@
     BodyTooLarge = "body-too-large", 413;
     /// The memory that the host may hold for callers is used up.
     MemoryFull = "memory-full", 503;
-    /// The caller's body ended early or was too slow.
+    /// The caller's body ended early, or its framing is invalid.
     BodyIncomplete = "body-incomplete", 400;
+    /// The body hadn't arrived completely when its time passed.
+    BodyLate = "body-late", 408;
     /// The request has no credential, or one that no tenant holds.
     UnknownCredential = "unknown-credential", 401;
     /// The request has several credentials, or one that can't be valid.
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod directives;
 mod hostile;
+mod rejections;
 mod stops;
 #[allow(dead_code, reason = "each test program uses a part of the module")]
 mod support;
--- /dev/null
+++ b/standins/tests/gateway/rejections.rs
@@ -0,0 +1,196 @@
+//! Proper requests that a gateway must not reject as if they were wrong.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use super::{CONFIGURATION, Cluster, HOST_HEADER, Response};
+
+/// Time that callers wait for a response, longer than any timeout of these tests.
+const ANSWER_MAX: Duration = Duration::from_secs(30);
+
+/// A request to `renovaciones`, without the end of its head.
+fn head(id: &str, headers: &str) -> String {
+    format!("POST /renovaciones/7 HTTP/1.1\r\nHost: {HOST_HEADER}\r\nX-Ragworthub-Request-Id: {id}\r\n{headers}")
+}
+
+fn connect(cluster: &Cluster) -> TcpStream {
+    let stream = TcpStream::connect(cluster.gateways[0].address).expect("a connection");
+    stream.set_read_timeout(Some(ANSWER_MAX)).expect("a read timeout");
+    stream
+}
+
+/// Reads one response without closing the connection; status 0 means that the connection ended.
+fn read_response(stream: &mut TcpStream) -> Response {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count > 0) {
+        bytes.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let mut lines = text.lines();
+    let status = lines.next().and_then(|line| line.split(' ').nth(1)?.parse().ok());
+    let headers = lines.filter_map(|line| line.split_once(": "));
+    let mut response = Response {
+        status: status.unwrap_or_default(),
+        headers: headers
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+            .collect(),
+        body: String::new(),
+    };
+    let length = response
+        .headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or_default()];
+    if stream.read_exact(&mut body).is_ok() {
+        response.body = String::from_utf8_lossy(&body).into_owned();
+    }
+    response
+}
+
+/// Publishes the example configuration with a version and replaced texts.
+fn publish(cluster: &Cluster, version: &str, replacements: &[(&str, &str)]) {
+    let text = std::fs::read_to_string(CONFIGURATION).expect("the example configuration");
+    let text = replacements
+        .iter()
+        .fold(text.replace("00000001", version), |text, (from, to)| {
+            assert!(text.contains(from), "{from}");
+            text.replace(from, to)
+        });
+    let file = cluster.directory.path().join("changed.json");
+    std::fs::write(&file, text).expect("a configuration file");
+    cluster.publish(&file);
+}
+
+fn check_late(cluster: &Cluster, id: &str, response: &Response) {
+    let header = |name: &str| response.headers.get(name).map(String::as_str);
+    assert_eq!(response.status, 408, "{id}: {:?}", response.headers);
+    assert_eq!(header("ragworthub-reason"), Some("body-late"), "{id}");
+    assert_eq!(header("ragworthub-verdict"), Some("not-run"), "{id}");
+    assert_eq!(header("connection"), Some("close"), "{id}");
+    let retry_after = header("retry-after").and_then(|text| text.parse::<f64>().ok());
+    assert!(
+        retry_after.is_some_and(|seconds| seconds < 0.5),
+        "{id}: {retry_after:?}"
+    );
+    assert_eq!(cluster.run_count(id), 0, "{id}");
+}
+
+/// Guards against telling a caller whose body is late, for whatever reason, that its request is wrong. A caller doesn't
+/// repeat a request after a 400.
+#[test]
+fn late_body_is_refused_with_a_status_that_permits_a_retry() {
+    let cluster = Cluster::start(1);
+    let parts = [
+        ("length", "Content-Length: 10\r\n\r\n01234", "56789"),
+        (
+            "chunks",
+            "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n",
+            "5\r\n56789\r\n0\r\n\r\n",
+        ),
+        ("head", "Content-Length: 10\r\n\r\n", "0123456789"),
+    ];
+    for (id, first, rest) in parts {
+        let mut stream = connect(&cluster);
+        let text = head(id, &format!("X-Ragworthub-Deadline-Ms: 700\r\n{first}"));
+        stream.write_all(text.as_bytes()).expect("a part of a request");
+        let response = read_response(&mut stream);
+        // The gateway may have closed the connection by now.
+        let _ = stream.write_all(rest.as_bytes());
+        check_late(&cluster, id, &response);
+    }
+    assert_eq!(cluster.call(0, "POST", "/renovaciones/7", "next", None).status, 200);
+}
+
+/// Guards against a reset that destroys the response to a late body because the caller still sends.
+#[test]
+fn response_to_a_late_body_reaches_a_caller_that_still_sends() {
+    let cluster = Cluster::start(1);
+    let mut stream = connect(&cluster);
+    let text = head(
+        "slow",
+        "X-Ragworthub-Deadline-Ms: 700\r\nContent-Length: 9999999\r\n\r\n",
+    );
+    stream.write_all(text.as_bytes()).expect("a head");
+    let mut sender = stream.try_clone().expect("a second handle");
+    let sending = std::thread::spawn(move || {
+        while sender.write_all(b"a piece of the body").is_ok() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+    let response = read_response(&mut stream);
+    // Ends the sending even if the gateway doesn't.
+    let _ = stream.shutdown(Shutdown::Both);
+    sending.join().expect("the sender");
+    check_late(&cluster, "slow", &response);
+}
+
+/// Guards against the same for a body without a byte for 10 s, before its deadline.
+#[test]
+fn stalled_body_is_refused_with_a_status_that_permits_a_retry() {
+    let cluster = Cluster::start(1);
+    publish(&cluster, "00000002", &[("\"timeout\": \"2s\"", "\"timeout\": \"60s\"")]);
+    // Longer than hosts take to read a configuration.
+    std::thread::sleep(Duration::from_secs(2));
+    let mut stream = connect(&cluster);
+    let text = head("stalled", "Content-Length: 10\r\n\r\n01234");
+    stream.write_all(text.as_bytes()).expect("a part of a request");
+    let response = read_response(&mut stream);
+    check_late(&cluster, "stalled", &response);
+}
+
+/// Guards against a body that is invalid, or that the caller has ended, and for which the caller is told to come back.
+#[test]
+fn invalid_body_is_the_callers_fault() {
+    let cluster = Cluster::start(1);
+    let bodies = [
+        ("bad-chunk", "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\nzz\r\n"),
+        ("ended", "Content-Length: 10\r\n\r\n01234"),
+    ];
+    for (id, rest) in bodies {
+        let mut stream = connect(&cluster);
+        stream.write_all(head(id, rest).as_bytes()).expect("a request");
+        stream.shutdown(Shutdown::Write).expect("an end");
+        let response = read_response(&mut stream);
+        assert_eq!(response.status, 400, "{id}: {:?}", response.headers);
+        assert_eq!(response.headers["ragworthub-reason"], "body-incomplete", "{id}");
+        assert!(!response.headers.contains_key("retry-after"), "{id}");
+        assert_eq!(cluster.run_count(id), 0, "{id}");
+    }
+}
+
+/// Guards against blaming the caller for a body that arrived in time while the process was held up.
+#[test]
+fn body_that_waited_for_a_stopped_process_is_not_called_late() {
+    let cluster = Cluster::start(1);
+    let body = "x".repeat(60_000);
+    let bodies = [
+        ("length", "Content-Length: 60000\r\n", body.clone()),
+        (
+            "chunks",
+            "Transfer-Encoding: chunked\r\n",
+            format!("ea60\r\n{body}\r\n0\r\n\r\n"),
+        ),
+    ];
+    for (id, framing, body) in bodies {
+        let mut stream = connect(&cluster);
+        let headers = format!("Expect: 100-continue\r\nX-Ragworthub-Deadline-Ms: 2000\r\n{framing}\r\n");
+        stream.write_all(head(id, &headers).as_bytes()).expect("a head");
+        assert_eq!(
+            read_response(&mut stream).status,
+            100,
+            "{id}: the gateway doesn't read the body"
+        );
+        cluster.gateways[0].signal("STOP");
+        stream.write_all(body.as_bytes()).expect("a body");
+        // Longer than the deadline.
+        std::thread::sleep(Duration::from_millis(2_200));
+        cluster.gateways[0].signal("CONT");
+        let response = read_response(&mut stream);
+        assert_eq!(response.status, 503, "{id}: {:?}", response.headers);
+        assert_eq!(response.headers["ragworthub-verdict"], "not-run", "{id}");
+        assert!(response.headers.contains_key("retry-after"), "{id}");
+        assert_eq!(cluster.run_count(id), 0, "{id}");
+    }
+}
