Limit what an upstream may send before its response begins

Cause: the HTTP library skips interim responses (1xx), any number of them, so an upstream that sends them without an end took a whole core for one request until its deadline. Each is small, so the limit on the size of a head never applied.

Change: the stream of each connection that this host opens counts the bytes that arrive between a request and the end of the head of its response. At 64 KiB, the limit that a head had before, the connection closes and the attempt fails as `bad-answer`, with a log line that names the upstream and the limit. The limit holds for calls to upstreams and the store as well.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,10 +13,10 @@
 
 use super::answer::{AttemptGuard, ResponseBody, strip_hop_by_hop_headers};
 use super::body::BufferedBody;
-use super::connect::READ_BUFFER_MAX;
 use super::connections::Sender;
 use super::crashes::{record_heard, request_check};
 use super::directives::apply_directives;
+use super::outbound::{HEAD_MAX_BYTES, HeadTooLarge};
 use super::peers::Message;
 use super::request::RequestContext;
 use super::speeds::{record_service_time, reported_queue_factor};
@@ -38,7 +38,7 @@
 
 /// Largest memory that a response takes on its way: the read buffer of the upstream's connection, a frame of the same
 /// size in transit, and the write buffer of the caller's connection.
-const RESPONSE_BUFFER_BYTES: usize = 3 * READ_BUFFER_MAX;
+const RESPONSE_BUFFER_BYTES: usize = 3 * HEAD_MAX_BYTES;
 
 /// Why an attempt failed, and whether the upstream may have run the request.
 pub(super) struct Failure {
@@ -178,7 +178,12 @@
                 .is_some_and(|source| source.kind() == ErrorKind::TimedOut);
             guard.end_run(if is_silent { RunEnd::Abandoned } else { RunEnd::Broken });
             request_check(gateway, upstream);
-            let reason = if error.is_parse() {
+            let is_too_large = HeadTooLarge::is_cause_of(&error);
+            if is_too_large {
+                warn!(gateway.log, "upstream exceeded a limit; its connection is closed"; "upstream" => %upstream,
+                    "request" => ctx.id.to_str().unwrap_or_default(), "error" => %HeadTooLarge);
+            }
+            let reason = if is_too_large || error.is_parse() {
                 Reason::BadResponse
             } else {
                 Reason::ConnectionLost
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -12,7 +12,7 @@
 use http::{Request, Response};
 use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -21,6 +21,8 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
 
+use super::outbound::{HEAD_MAX_BYTES, HeadTooLarge, PeerStream, Sender};
+
 /// Time without an acknowledgement after which a connection counts as lost. A lost packet is sent again
 /// after 0.2 s, so a connection survives two losses in a row.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,8 +30,6 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Limit on the body of a response to a call: a page of 1 MB in base64, within JSON, must fit.
 const RESPONSE_MAX_BYTES: usize = 4 << 20;
-/// Size to which the read buffer of a connection may grow, and so the largest head of a response.
-pub(super) const READ_BUFFER_MAX: usize = 64 << 10;
 /// Maximum number of idle connections kept for one endpoint.
 const IDLE_MAX: usize = 4;
 
@@ -43,7 +43,7 @@
     address: SocketAddr,
     connect_timeout: Duration,
     on_close: impl FnOnce() + 'static,
-) -> io::Result<SendRequest<B>>
+) -> io::Result<Sender<B>>
 where
     B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -51,8 +51,10 @@
     let opened = timeout(connect_timeout, TcpStream::connect(address)).await;
     let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
     set_socket_options(&stream)?;
+    let stream = PeerStream::new(stream);
+    let add_limit = stream.sender();
     let handshake = Builder::new()
-        .max_buf_size(READ_BUFFER_MAX)
+        .max_buf_size(HEAD_MAX_BYTES)
         .handshake(TokioIo::new(stream))
         .await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -61,7 +63,7 @@
         let _ = connection.await;
         on_close();
     });
-    Ok(sender)
+    Ok(add_limit(sender))
 }
 
 /// Sets the socket options with which an unresponsive connection fails within a second or two.
@@ -97,7 +99,7 @@
 pub(crate) struct Endpoint {
     pub(crate) address: SocketAddr,
     connect_timeout: Duration,
-    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    idle: RefCell<Vec<Sender<Full<Bytes>>>>,
     session: Rc<Session>,
 }
 
@@ -143,7 +145,7 @@
         }
     }
 
-    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn open(&self) -> Result<Sender<Full<Bytes>>, CallError> {
         // Counted only once it is open, as it must not bridge the gap between two processes.
         let (close, closed) = oneshot::channel::<()>();
         let sender = connect(self.address, self.connect_timeout, move || drop(close)).await;
@@ -210,7 +212,7 @@
 
     async fn call_on(
         &self,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut sender: Sender<Full<Bytes>>,
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
@@ -219,7 +221,9 @@
             let sent = sender.try_send_request(request).await;
             let response = sent.map_err(|e| {
                 let text = e.error().to_string();
-                if e.message().is_some() {
+                if HeadTooLarge::is_cause_of(e.error()) {
+                    CallError::Broken(HeadTooLarge.to_string())
+                } else if e.message().is_some() {
                     CallError::NotSent(text)
                 } else {
                     CallError::Broken(text)
@@ -238,10 +242,10 @@
         Ok(response)
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self) -> Option<Sender<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|sender| !sender.is_closed());
-        let ready = idle.iter().rposition(SendRequest::is_ready)?;
+        let ready = idle.iter().rposition(Sender::is_ready)?;
         Some(idle.swap_remove(ready))
     }
 }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
 use super::body::BufferedBody;
 use super::connect::connect;
+use super::outbound;
 use crate::types::UpstreamName;
 
 /// Upper limit of the idle timeout, and its value if the upstream states none; upstreams close idle
@@ -23,7 +23,7 @@
 /// it as the request is sent, the outcome of the request is ambiguous.
 const NON_IDEMPOTENT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 
-pub(crate) type Sender = SendRequest<BufferedBody>;
+pub(crate) type Sender = outbound::Sender<BufferedBody>;
 
 #[derive(Debug)]
 struct IdleConnection {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod framing;
 mod grants;
 mod orders;
+mod outbound;
 mod peers;
 mod rejections;
 mod request;
--- a/standins/tests/gateway/hostile.rs
+++ b/standins/tests/gateway/hostile.rs
@@ -24,7 +24,7 @@
 }
 
 /// Serves each connection by a function, which gets the stream and the ids of the requests.
-fn start_raw_server(
+pub(super) fn start_raw_server(
     serve: impl Fn(&mut TcpStream, &mut dyn Iterator<Item = String>) + Send + Sync + 'static,
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -57,7 +57,7 @@
     }
 }
 
-fn append_record(cluster: &Cluster, key: &str, value: &[u8]) {
+pub(super) fn append_record(cluster: &Cluster, key: &str, value: &[u8]) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let append = append_keyed_record(cluster.store.address, "keyed.servers", key, value);
     runtime
@@ -66,7 +66,7 @@
         .expect("an accepted record");
 }
 
-fn entry(address: &str) -> Value {
+pub(super) fn entry(address: &str) -> Value {
     json!({
         "service": "renovaciones", "address": address, "zone": "zone-a", "version": "v1", "slots": 4, "state": "ready",
         "cold_left": "0ms", "seq": 1, "born": unix_ms(),
@@ -74,7 +74,7 @@
 }
 
 /// Starts a gateway whose only server of `renovaciones` is a raw one.
-fn start_with_raw_server(
+pub(super) fn start_with_raw_server(
     serve: impl Fn(&mut TcpStream, &mut dyn Iterator<Item = String>) + Send + Sync + 'static,
 ) -> Cluster {
     let cluster = Cluster::start_with(1, 0, &[]);
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod directives;
+mod endless;
 mod hostile;
 mod rejections;
 mod stops;
