Treat an unsigned status that blames or promises as a bad response

Cause: only 2xx responses had to bear the upstream's signature. A 3xx or 4xx without it was forwarded and is, to the caller, an answer of the gateway: it ends the caller's retries. 408, 429 and 503 without signature and without X-Ragworthub-Not-Executed promised that the request had not run, though nothing shows that. Of the other statuses, unsigned 500, 501, 502, 504 and above are still forwarded: they promise nothing and a caller may repeat what is safe, as after a 502 of the gateway. Signed responses keep their status, and 421 and X-Ragworthub-Not-Executed still mean that nothing ran.

Change: check_response accepts an unsigned response only if it is a server error other than 503. Anything else is `bad-answer` (502, may have run), and is retried where the route permits it.

Now both pass, as do the other 30 tests of the gateway program and the 137 unit tests of the crate (x86-64).

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -198,7 +198,7 @@
             "ask the team responsible for the upstream whether it ran; look for a slow or frozen upstream",
         ),
         "bad-answer" => (
-            format!("the response of {upstreams} was malformed, incomplete, or for another request"),
+            format!("the response of {upstreams} was malformed, incomplete, unsigned, or for another request"),
             "report it to the team responsible for the upstream; it may have run",
         ),
         "not-ready" => (
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::header::CONTENT_ENCODING;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
 use http_body::Body;
 use hyper::body::Incoming;
 use slog::warn;
@@ -237,6 +237,17 @@
     request
 }
 
+/// Reports whether a response may be forwarded as the upstream's own.
+///
+/// Without a signature only a failure that neither blames the caller nor promises that the request has not run may be: a
+/// caller may treat it like a 502 of this host.
+fn is_trusted(status: StatusCode, headers: &HeaderMap) -> bool {
+    if !headers.contains_key(SIGNATURE) {
+        return status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE;
+    }
+    !(status.is_informational() || status.is_success() && headers.contains_key(CONTENT_ENCODING))
+}
+
 /// Classifies a response and records what it shows of the upstream. `latency` excludes the estimated
 /// wait for a slot.
 fn check_response(
@@ -282,13 +293,12 @@
         };
         return Err(failure(reason, Verdict::NotRun));
     }
-    let is_intact =
-        !status.is_success() || (headers.contains_key(SIGNATURE) && !headers.contains_key(CONTENT_ENCODING));
-    if (status.is_redirection() || status.is_client_error()) && !headers.contains_key(SIGNATURE) {
+    let is_intact = is_trusted(status, headers);
+    if !is_intact && (status.is_redirection() || status.is_client_error()) {
         warn!(gateway.log, "response without a signature blames the caller"; "upstream" => %upstream,
             "request" => ctx.id.to_str().unwrap_or_default(), "status" => status.as_u16());
     }
-    if !is_intact || status.is_informational() {
+    if !is_intact {
         guard.end_run(RunEnd::Broken);
         request_check(gateway, &upstream);
         record_outcome(gateway, &upstream, Outcome::Failed);
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -134,7 +134,7 @@
     DeadlineExceeded = "deadline-exceeded", 504;
     /// The connection broke before the response head arrived.
     ConnectionLost = "connection-lost", 502;
-    /// The response doesn't parse, belongs to another request, or is incomplete.
+    /// The response doesn't parse, belongs to another request, is incomplete, or lacks the signature that its status needs.
     BadResponse = "bad-answer", 502;
     /// The upstream responded with a failure of its own.
     UpstreamFailed = "upstream-failed", 502;
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests gateways as real processes between an ordinary HTTP client and the stand-ins.
 
+mod blame;
 mod crashes;
 mod directives;
 mod endless;
