Limit the bodies of responses to calls, and read them into one buffer

Cause: health checks and lease commands read bodies of up to 4 MiB, of which only the head is used, and calls to the store as well. The frames of a body were kept until its end, so small chunks took many times their size.

Change: a call reads the body into one buffer, up to 64 KiB for upstreams and 4 MiB for the store. Responses beyond a limit are an error of their own, which is logged with the upstream and the limit and counted in ragworthub_exceeded_limits_total{peer}. For grants, releases and checks it means what a broken connection meant.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -180,6 +180,7 @@
             request_check(gateway, upstream);
             let is_too_large = HeadTooLarge::is_cause_of(&error);
             if is_too_large {
+                gateway.metrics.count_exceeded_limit("upstream");
                 warn!(gateway.log, "upstream exceeded a limit; its connection is closed"; "upstream" => %upstream,
                     "request" => ctx.id.to_str().unwrap_or_default(), "error" => %HeadTooLarge);
             }
--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -7,11 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http::{Request, Response};
 use http_body::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -28,8 +29,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle time after which the kernel sends TCP keep-alive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
-/// Limit on the body of a response to a call: a page of 1 MB in base64, within JSON, must fit.
-const RESPONSE_MAX_BYTES: usize = 4 << 20;
+/// Limit on the body of an upstream's response to a call, of which only the head is used.
+pub(super) const CALL_BODY_MAX_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept for one endpoint.
 const IDLE_MAX: usize = 4;
 
@@ -90,6 +91,8 @@
     Refused,
     /// connection broke before the complete response arrived: {0}
     Broken(String),
+    /// response exceeds a limit: {0}
+    TooLarge(String),
     /// no complete response within {0:?}
     TimedOut(Duration),
 }
@@ -99,6 +102,8 @@
 pub(crate) struct Endpoint {
     pub(crate) address: SocketAddr,
     connect_timeout: Duration,
+    /// Limit on the body of a response.
+    body_max: usize,
     idle: RefCell<Vec<Sender<Full<Bytes>>>>,
     session: Rc<Session>,
 }
@@ -136,10 +141,11 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
+    pub(crate) fn new(address: SocketAddr, connect_timeout: Duration, body_max: usize) -> Self {
         Self {
             address,
             connect_timeout,
+            body_max,
             idle: RefCell::default(),
             session: Rc::default(),
         }
@@ -222,7 +228,7 @@
             let response = sent.map_err(|e| {
                 let text = e.error().to_string();
                 if HeadTooLarge::is_cause_of(e.error()) {
-                    CallError::Broken(HeadTooLarge.to_string())
+                    CallError::TooLarge(HeadTooLarge.to_string())
                 } else if e.message().is_some() {
                     CallError::NotSent(text)
                 } else {
@@ -230,9 +236,8 @@
                 }
             })?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
-            let body = body.map_err(|e| CallError::Broken(e.to_string()))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_body(body, self.body_max).await?;
+            Ok(Response::from_parts(head, body))
         })
         .await?;
         let mut idle = self.idle.borrow_mut();
@@ -250,6 +255,22 @@
     }
 }
 
+/// Reads a body into one buffer. Keeping its frames would take many times their size if they are small.
+async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, CallError> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| CallError::Broken(e.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(CallError::TooLarge(format!("its body has more than {limit} bytes")));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 fn classify_connect_error(error: &io::Error) -> CallError {
     match error.kind() {
         io::ErrorKind::ConnectionRefused => CallError::Refused,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -16,7 +16,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::attempt::record_outcome;
-use super::connect::{CallError, Endpoint};
+use super::connect::{CALL_BODY_MAX_BYTES, CallError, Endpoint};
+use super::orders::record_call_limit;
 use super::peers::Message;
 use super::state::Gateway;
 use crate::fleet::{Crash, CrashReport, Fingerprint, HostRing, Outcome, RequestReport};
@@ -211,11 +212,10 @@
     let catalog = gateway.catalog.borrow().clone()?;
     let path = &catalog.pools.get(&pool)?.health_path;
     let request = Request::get(path).header(HOST, "upstream").body(Full::default()).ok()?;
-    Some(
-        Endpoint::new(address, CONNECT_TIMEOUT)
-            .call(request, CHECK_TIMEOUT)
-            .await,
-    )
+    let endpoint = Endpoint::new(address, CONNECT_TIMEOUT, CALL_BODY_MAX_BYTES);
+    let response = endpoint.call(request, CHECK_TIMEOUT).await;
+    record_call_limit(gateway, upstream, response.as_ref().err());
+    Some(response)
 }
 
 /// Returns the evidence that an upstream has ended, if there is any. `started` is when this was suspected.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -6,10 +6,10 @@
 use http::header::HOST;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use slog::info;
+use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
-use super::connect::{CallError, Endpoint};
+use super::connect::{CALL_BODY_MAX_BYTES, CallError, Endpoint};
 use super::peers::Message;
 use super::state::Gateway;
 use crate::fleet::LoadReport;
@@ -30,12 +30,21 @@
 /// Timeout of a release, to which upstreams respond once their requests in flight for the keys have ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Logs and counts a call whose response exceeded a limit.
+pub(super) fn record_call_limit(gateway: &Gateway, upstream: &UpstreamName, error: Option<&CallError>) {
+    if let Some(CallError::TooLarge(limit)) = error {
+        gateway.metrics.count_exceeded_limit("upstream");
+        warn!(gateway.log, "upstream exceeded a limit; its connection is closed"; "upstream" => %upstream,
+            "error" => limit);
+    }
+}
+
 fn find_endpoint(gateway: &Gateway, holder: &Holder) -> Option<Rc<Endpoint>> {
     let address = *gateway.grants.addresses.borrow().get(holder)?;
     let mut endpoints = gateway.grants.endpoints.borrow_mut();
     let endpoint = endpoints
         .entry(holder.clone())
-        .or_insert_with(|| Rc::new(Endpoint::new(address, CONNECT_TIMEOUT)));
+        .or_insert_with(|| Rc::new(Endpoint::new(address, CONNECT_TIMEOUT, CALL_BODY_MAX_BYTES)));
     Some(Rc::clone(endpoint))
 }
 
@@ -55,7 +64,9 @@
         return;
     };
     // If the check gets no response, the grant fails as well; its retry repeats the check.
-    let Ok(response) = endpoint.call(request, GRANT_TIMEOUT).await else {
+    let response = endpoint.call(request, GRANT_TIMEOUT).await;
+    record_call_limit(gateway, &holder.upstream, response.as_ref().err());
+    let Ok(response) = response else {
         return;
     };
     let cold = read_cold(response.headers());
@@ -79,8 +90,9 @@
     gateway.metrics.count_lease_call("load");
     let request = Request::get(path).header(HOST, "upstream").body(Full::default()).ok()?;
     // Without a report the share of the owner stays as it is until the next round.
-    let response = endpoint.call(request, LOAD_TIMEOUT).await.ok()?;
-    read_load(response.headers())
+    let response = endpoint.call(request, LOAD_TIMEOUT).await;
+    record_call_limit(gateway, &holder.upstream, response.as_ref().err());
+    read_load(response.ok()?.headers())
 }
 
 /// Records that an upstream is cold for the given time.
@@ -106,7 +118,9 @@
     }
     let request = encode_command(command, &holder.upstream);
     let session = session.filter(|_| is_renewal);
-    match endpoint.call_in_session(session, request, GRANT_TIMEOUT).await {
+    let result = endpoint.call_in_session(session, request, GRANT_TIMEOUT).await;
+    record_call_limit(gateway, &holder.upstream, result.as_ref().err());
+    match result {
         Ok((response, session)) => match response.status() {
             StatusCode::OK => {
                 gateway.grants.sessions.borrow_mut().insert(lease, session);
@@ -117,7 +131,7 @@
             _ => GrantOutcome::Unknown,
         },
         Err(CallError::NotSent(_) | CallError::Refused) => GrantOutcome::NotSent,
-        Err(CallError::Broken(_)) => GrantOutcome::Broken,
+        Err(CallError::Broken(_) | CallError::TooLarge(_)) => GrantOutcome::Broken,
         Err(CallError::TimedOut(_)) => GrantOutcome::Unknown,
     }
 }
@@ -127,10 +141,10 @@
         return ReleaseOutcome::Unknown;
     };
     gateway.metrics.count_lease_call("release");
-    match endpoint
-        .call(encode_command(command, &holder.upstream), RELEASE_TIMEOUT)
-        .await
-    {
+    let request = encode_command(command, &holder.upstream);
+    let response = endpoint.call(request, RELEASE_TIMEOUT).await;
+    record_call_limit(gateway, &holder.upstream, response.as_ref().err());
+    match response {
         Ok(response) if response.status() == StatusCode::OK => {
             ReleaseOutcome::Released(read_handover(response.headers()))
         }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,4 +1,5 @@
 mod crashes;
+mod endless;
 mod feed;
 mod grants;
 mod peers;
@@ -19,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::answer::AttemptGuard;
-use super::connect::{CallError, Endpoint};
+use super::connect::{CALL_BODY_MAX_BYTES, CallError, Endpoint};
 use super::directives::apply_directives;
 use super::state::Gateway;
 use super::watch::{apply_catalog, apply_record};
@@ -179,7 +180,7 @@
     let listener = socket.listen(1).expect("listening socket");
     let address: SocketAddr = listener.local_addr().expect("valid address");
     let call = async move {
-        let endpoint = Endpoint::new(address, Duration::from_secs(5));
+        let endpoint = Endpoint::new(address, Duration::from_secs(5), CALL_BODY_MAX_BYTES);
         let request = Request::post("/grant").body(Full::new(Bytes::from(vec![0; BODY_BYTES])));
         endpoint
             .call(request.expect("valid request"), Duration::from_millis(50))
@@ -220,7 +221,11 @@
 async fn call_to_the_same_process_fails_once_its_connections_have_closed() {
     for restarts in [false, true] {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-        let endpoint = Endpoint::new(listener.local_addr().expect("valid address"), Duration::from_secs(5));
+        let endpoint = Endpoint::new(
+            listener.local_addr().expect("valid address"),
+            Duration::from_secs(5),
+            CALL_BODY_MAX_BYTES,
+        );
         let request = || Request::post("/grant").body(Full::default()).expect("valid request");
         let calls = async {
             let timeout = Duration::from_secs(5);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -28,6 +28,8 @@
 const DEGRADED_TIME: Duration = Duration::from_secs(8);
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Limit on the body of a response: a page of 1 MB in base64, within JSON, must fit.
+const BODY_MAX_BYTES: usize = 4 << 20;
 /// Largest size of the records that one read of a topic returns.
 const READ_MAX_KIB: u32 = 512;
 
@@ -155,7 +157,7 @@
     /// Creates a client that counts its calls.
     pub(crate) fn new(address: SocketAddr, calls: StoreCalls) -> Self {
         Self {
-            endpoint: Endpoint::new(address, CONNECT_TIMEOUT),
+            endpoint: Endpoint::new(address, CONNECT_TIMEOUT, BODY_MAX_BYTES),
             degraded_until: Cell::default(),
             calls,
         }
@@ -315,7 +317,9 @@
         }
         let response = response.map_err(|e| match e {
             CallError::NotSent(_) | CallError::Refused => StoreError::Refused(e.to_string()),
-            CallError::Broken(_) | CallError::TimedOut(_) => StoreError::Unknown(e.to_string()),
+            CallError::Broken(_) | CallError::TooLarge(_) | CallError::TimedOut(_) => {
+                StoreError::Unknown(e.to_string())
+            }
         })?;
         read_status(response.status(), response.into_body())
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -72,6 +72,11 @@
     holder: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PeerLabels {
+    peer: &'static str,
+}
+
 /// Calls to the store by kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StoreCalls(Family<CallLabels, Counter>);
@@ -108,6 +113,8 @@
     lease_calls: Family<CallLabels, Counter>,
     connections: Family<ConnectionLabels, Counter>,
     closed_callers: Family<ReasonLabels, Counter>,
+    /// Limits on what peers send that were exceeded.
+    exceeded_limits: Family<PeerLabels, Counter>,
     key_moves: Counter,
     /// Service times learned of the fastest and the slowest upstream.
     learned_times: Family<ExtremeLabels, Gauge>,
@@ -170,6 +177,7 @@
             lease_calls: Family::default(),
             connections: Family::default(),
             closed_callers: Family::default(),
+            exceeded_limits: Family::default(),
             key_moves: Counter::default(),
             learned_times: Family::default(),
             tenants: Family::default(),
@@ -268,6 +276,11 @@
             "Bytes of datagrams between hosts by kind and direction",
             self.message_bytes.clone(),
         );
+        r.register(
+            "exceeded_limits",
+            "Limits on what peers send that were exceeded",
+            self.exceeded_limits.clone(),
+        );
         r.register("store_calls", "Calls to the store by kind", self.store_calls.0.clone());
         r.register(
             "lease_calls",
@@ -415,6 +428,11 @@
         self.connections.get_or_create(&ConnectionLabels { connection }).inc();
     }
 
+    /// Counts a peer that exceeded a limit on what it may send.
+    pub(crate) fn count_exceeded_limit(&self, peer: &'static str) {
+        self.exceeded_limits.get_or_create(&PeerLabels { peer }).inc();
+    }
+
     pub(crate) fn count_crash(&self) {
         self.crashes.inc();
     }
