Limit listings and reads of the store

Cause: a listing went on as long as the store said that there is more, also if it sent the same page again and again, and kept all records whatever their size. A read that returned no record though its topic goes on was repeated at once. A record takes at least 64 bytes of memory and as few as 4 in a response. Offsets near the largest number overflowed.

Change: a listing fails after 1,000 pages, beyond 16 MiB of records, or if a page repeats the one before. `counts` and `check configuration` list any size. A read without progress fails, which starts the backoff. At most 32,768 records are taken from one read, and the others are read next. The limits are counted for the peer `store`.

--- a/src/command/configuration.rs
+++ b/src/command/configuration.rs
@@ -61,7 +61,12 @@
 fn read_from_store(store: SocketAddr) -> Result<String, CommandError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| CommandError::Unreadable(e.to_string()))?;
-    let list = async { Store::new(store, StoreCalls::default()).list(OPERATOR_TOPIC).await };
+    let list = async {
+        Store::new(store, StoreCalls::default())
+            .without_listing_limit()
+            .list(OPERATOR_TOPIC)
+            .await
+    };
     let listing = runtime.block_on(tokio::task::LocalSet::new().run_until(list));
     let listing = listing.map_err(|e| CommandError::Unreadable(format!("store {store}: {e}")))?;
     let record = listing
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -222,8 +222,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| CommandError::Failed(e.to_string()))?;
     let local = tokio::task::LocalSet::new();
-    let listing =
-        runtime.block_on(local.run_until(async { Store::new(store, StoreCalls::default()).list(COUNT_TOPIC).await }));
+    let listing = runtime.block_on(local.run_until(async {
+        Store::new(store, StoreCalls::default())
+            .without_listing_limit()
+            .list(COUNT_TOPIC)
+            .await
+    }));
     let listing = listing.map_err(|e| CommandError::Failed(e.to_string()))?;
     let mut processes: BTreeMap<String, ProcessCounts> = BTreeMap::new();
     for record in listing.records {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,6 +32,13 @@
 const BODY_MAX_BYTES: usize = 4 << 20;
 /// Largest size of the records that one read of a topic returns.
 const READ_MAX_KIB: u32 = 512;
+/// Most records that are taken from one read; the others are read next. A record takes at least 64 bytes here, and as
+/// few as 4 in a response.
+pub(super) const BATCH_RECORDS_MAX: usize = 32 << 10;
+/// Most pages of a listing, which has up to 500 records on each.
+const LISTING_PAGES_MAX: usize = 1_000;
+/// Most memory that the records of a listing take on a gateway.
+const LISTING_MAX_BYTES: usize = 16 << 20;
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -151,6 +158,8 @@
     endpoint: Endpoint,
     degraded_until: Cell<Option<Instant>>,
     calls: StoreCalls,
+    /// Most memory that the records of a listing take.
+    listing_max: usize,
 }
 
 impl Store {
@@ -160,6 +169,15 @@
             endpoint: Endpoint::new(address, CONNECT_TIMEOUT, BODY_MAX_BYTES),
             degraded_until: Cell::default(),
             calls,
+            listing_max: LISTING_MAX_BYTES,
+        }
+    }
+
+    /// Accepts listings of any size, for programs that list one topic and end.
+    pub(crate) fn without_listing_limit(self) -> Self {
+        Self {
+            listing_max: usize::MAX,
+            ..self
         }
     }
 
@@ -176,12 +194,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store doesn't return every page.
+    /// Fails if the store doesn't return every page, repeats one, or exceeds a limit on the listing.
     pub(crate) async fn list(&self, topic: &str) -> Result<Listing, StoreError> {
         let mut records = Vec::new();
         let mut first_end = None;
         let mut after = String::new();
-        loop {
+        let mut bytes = 0;
+        for _ in 0..LISTING_PAGES_MAX {
             let mut uri = format!("/log-newest?topic={topic}&part=0");
             if !after.is_empty() {
                 uri.push_str("&after=");
@@ -192,11 +211,20 @@
             let page = parse::<WirePage>(&body)?;
             // Pages aren't a consistent snapshot, so records written since the first page are read again.
             let end = *first_end.get_or_insert(page.end_offset);
-            after = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
+            let last = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
+            if page.has_more && !last.is_empty() && last == after {
+                return Err(self.exceeded_limit(format!("the listing of {topic} repeats the page up to key {last:?}")));
+            }
+            after = last;
             for item in page.items {
                 let value = STANDARD
                     .decode(&item.value)
                     .map_err(|e| StoreError::Unknown(e.to_string()))?;
+                bytes += size_of::<Record>() + item.key.len() + value.len();
+                if bytes > self.listing_max {
+                    let limit = self.listing_max;
+                    return Err(self.exceeded_limit(format!("the listing of {topic} takes more than {limit} bytes")));
+                }
                 records.push(Record {
                     offset: Offset(item.offset),
                     key: item.key,
@@ -210,6 +238,15 @@
                 });
             }
         }
+        Err(self.exceeded_limit(format!(
+            "the listing of {topic} has more than {LISTING_PAGES_MAX} pages"
+        )))
+    }
+
+    /// Counts a limit that the store exceeded, and returns the error.
+    fn exceeded_limit(&self, text: String) -> StoreError {
+        self.calls.count_exceeded_limit();
+        StoreError::Unknown(text)
     }
 
     /// Reads records of a keyed topic from an offset on, as many as fit into one response.
@@ -315,6 +352,9 @@
         if is_slow || is_lost {
             self.mark_degraded(now);
         }
+        if matches!(response, Err(CallError::TooLarge(_))) {
+            self.calls.count_exceeded_limit();
+        }
         let response = response.map_err(|e| match e {
             CallError::NotSent(_) | CallError::Refused => StoreError::Refused(e.to_string()),
             CallError::Broken(_) | CallError::TooLarge(_) | CallError::TimedOut(_) => {
@@ -389,7 +429,8 @@
     body.freeze()
 }
 
-/// Decodes the response to a read. A record with a malformed key keeps its offset and gets an empty key.
+/// Decodes the response to a read. A record with a malformed key keeps its offset and gets an empty key. Returns `None`
+/// if the response is malformed, or doesn't go on although the topic does: reading on at once would never end.
 pub(super) fn decode_batch(from: Offset, mut body: Bytes) -> Option<Batch> {
     if body.len() < 16 {
         return None;
@@ -398,19 +439,16 @@
     let _first = body.get_u64();
     let mut next = from;
     let mut records = Vec::new();
-    while body.remaining() >= 4 {
+    while body.remaining() >= 4 && records.len() < BATCH_RECORDS_MAX {
         let length = usize::try_from(body.get_u32()).ok()?;
         if body.remaining() < length {
             return None;
         }
         records.push(decode_record(next, body.split_to(length)));
-        next = Offset(next.0 + 1);
+        next = Offset(next.0.checked_add(1)?);
     }
-    Some(Batch {
-        next,
-        records,
-        is_last: next.0 >= end,
-    })
+    let is_last = next.0 >= end;
+    (is_last || next > from).then_some(Batch { next, records, is_last })
 }
 
 fn decode_record(offset: Offset, mut content: Bytes) -> Record {
--- a/src/platform/tests.rs
+++ b/src/platform/tests/mod.rs
@@ -1,3 +1,5 @@
+mod endless;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +14,7 @@
 use crate::catalog::{Idempotency, Phase, compare};
 use crate::types::Offset;
 
-const CONFIGURATION: &str = include_str!("../../examples/platform/configuration.json");
+const CONFIGURATION: &str = include_str!("../../../examples/platform/configuration.json");
 
 /// Guards against accepting a duration without a valid number and unit, which would be read in a guessed
 /// unit.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -79,11 +79,19 @@
 
 /// Calls to the store by kind.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct StoreCalls(Family<CallLabels, Counter>);
+pub(crate) struct StoreCalls {
+    calls: Family<CallLabels, Counter>,
+    exceeded_limits: Family<PeerLabels, Counter>,
+}
 
 impl StoreCalls {
     pub(crate) fn count(&self, call: &'static str) {
-        self.0.get_or_create(&CallLabels { call }).inc();
+        self.calls.get_or_create(&CallLabels { call }).inc();
+    }
+
+    /// Counts a limit on what the store may send that it exceeded.
+    pub(crate) fn count_exceeded_limit(&self) {
+        self.exceeded_limits.get_or_create(&PeerLabels { peer: "store" }).inc();
     }
 }
 
@@ -113,8 +121,6 @@
     lease_calls: Family<CallLabels, Counter>,
     connections: Family<ConnectionLabels, Counter>,
     closed_callers: Family<ReasonLabels, Counter>,
-    /// Limits on what peers send that were exceeded.
-    exceeded_limits: Family<PeerLabels, Counter>,
     key_moves: Counter,
     /// Service times learned of the fastest and the slowest upstream.
     learned_times: Family<ExtremeLabels, Gauge>,
@@ -177,7 +183,6 @@
             lease_calls: Family::default(),
             connections: Family::default(),
             closed_callers: Family::default(),
-            exceeded_limits: Family::default(),
             key_moves: Counter::default(),
             learned_times: Family::default(),
             tenants: Family::default(),
@@ -279,9 +284,13 @@
         r.register(
             "exceeded_limits",
             "Limits on what peers send that were exceeded",
-            self.exceeded_limits.clone(),
+            self.store_calls.exceeded_limits.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the store by kind",
+            self.store_calls.calls.clone(),
         );
-        r.register("store_calls", "Calls to the store by kind", self.store_calls.0.clone());
         r.register(
             "lease_calls",
             "Calls to upstreams about keys by kind",
@@ -430,7 +439,8 @@
 
     /// Counts a peer that exceeded a limit on what it may send.
     pub(crate) fn count_exceeded_limit(&self, peer: &'static str) {
-        self.exceeded_limits.get_or_create(&PeerLabels { peer }).inc();
+        let limits = &self.store_calls.exceeded_limits;
+        limits.get_or_create(&PeerLabels { peer }).inc();
     }
 
     pub(crate) fn count_crash(&self) {
