Answer 503, not 404, for a route whose entry can't be used

Cause: a route that couldn't be decoded was left out of the configuration, and so was one whose prefix lacks a slash at an end in effect. Its callers got 404, which ends their retries, or their requests went to the pool of a shorter prefix. Some entries were left out for nothing: `null` for an absent field, and whole numbers and weights written as floats.

Change: the catalog keeps host and prefix of routes that can't be used, as far as they can be read. They take part in the search for the longest prefix: such a match is `route-unusable` (503 with Retry-After). If host or prefix can't be read, a request that matches no other route gets `route-unsure` (503 with Retry-After) instead of 404. Absent or `null` optional fields, whole numbers like 2.0 and fractional weights are decoded; a route without a kind runs at most once.

The rest of the gateway program's tests were not rerun for this commit.

--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{Catalog, Pool, Route, has_valid_escapes};
+use super::{Catalog, Pool, Route, RouteMatch, has_valid_escapes};
 use crate::tenants::TenantDirectory;
 use crate::types::PoolName;
 
@@ -189,7 +189,10 @@
         let next = new.find_route(host, prefix);
         let place = format!("requests to {host}{prefix}");
         match (old, next) {
-            (Some(_), None) => changes.push(format!("{place} get 404")),
+            (Some(_), None) => {
+                let is_missing = new.match_route(host, prefix) == RouteMatch::Missing;
+                changes.push(format!("{place} get {}", if is_missing { 404 } else { 503 }));
+            }
             (None, Some(next)) => changes.push(format!("{place} go to {} instead of 404", describe_targets(next))),
             (Some(old), Some(next)) => changes.extend(compare_routes(&place, old, next)),
             (None, None) => {}
@@ -207,7 +210,7 @@
 }
 
 fn describe_targets(route: &Route) -> String {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
     let parts = route.targets.iter().map(|target| {
         if route.targets.len() == 1 {
             target.pool.to_string()
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -120,19 +120,71 @@
     pub(crate) offset: Offset,
     /// Routes by host and prefix.
     pub(crate) routes: BTreeMap<String, BTreeMap<String, Route>>,
+    /// Routes that exist, but whose entries can't be used.
+    pub(crate) unusable_routes: Vec<UnusableRoute>,
     pub(crate) pools: BTreeMap<PoolName, Pool>,
     pub(crate) limits: CallerLimits,
     /// Tenants by credential; `None` if requests need no credential.
     pub(crate) tenants: Option<TenantDirectory>,
 }
 
+/// What can be read of a route that exists, but whose entry can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UnusableRoute {
+    /// As [`Route::host`]; `None` if it can't be read.
+    pub(crate) host: Option<String>,
+    /// As [`Route::prefix`], but may lack the last slash; `None` if it can't be read.
+    pub(crate) prefix: Option<String>,
+}
+
+/// Result of the search for the route of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RouteMatch<'a> {
+    Found(&'a Route),
+    /// The route with the longest matching prefix can't be used.
+    Unusable,
+    /// No known route matches, but one whose host or prefix can't be read might.
+    Unsure,
+    Missing,
+}
+
 impl Catalog {
     /// Returns the route of the host with the longest prefix that the path starts with.
     pub(crate) fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
+        match self.match_route(host, path) {
+            RouteMatch::Found(route) => Some(route),
+            RouteMatch::Unusable | RouteMatch::Unsure | RouteMatch::Missing => None,
+        }
+    }
+
+    /// Finds the route of the host with the longest prefix that the path starts with. An unusable route takes part: a
+    /// shorter prefix may belong to another pool.
+    pub(crate) fn match_route(&self, host: &str, path: &str) -> RouteMatch<'_> {
         let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-        let routes = self.routes.get(&host)?;
-        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
-        ends.into_iter().find_map(|end| routes.get(&path[..end]))
+        let found = self.routes.get(&host).and_then(|routes| {
+            let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+            ends.find_map(|end| routes.get(&path[..end]))
+        });
+        let covers = |route: &&UnusableRoute| {
+            route.host.as_ref().is_none_or(|known| *known == host)
+                && route
+                    .prefix
+                    .as_ref()
+                    .is_none_or(|known| path.starts_with(known.as_str()))
+        };
+        let mut is_unsure = false;
+        for route in self.unusable_routes.iter().filter(covers) {
+            let prefix = route.prefix.as_ref().filter(|_| route.host.is_some());
+            if prefix.is_some_and(|prefix| found.is_none_or(|found| prefix.len() > found.prefix.len())) {
+                return RouteMatch::Unusable;
+            }
+            is_unsure |= prefix.is_none();
+        }
+        match found {
+            Some(route) => RouteMatch::Found(route),
+            None if is_unsure => RouteMatch::Unsure,
+            None => RouteMatch::Missing,
+        }
     }
 }
 
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -1,7 +1,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{CallerLimits, Catalog, CatalogVersion, Idempotency, Route, Target, find_target, has_valid_escapes};
+use super::{
+    CallerLimits, Catalog, CatalogVersion, Idempotency, Route, RouteMatch, Target, UnusableRoute, find_target,
+    has_valid_escapes,
+};
 use crate::types::Offset;
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -34,6 +37,7 @@
         version: CatalogVersion(1),
         offset: Offset(1),
         routes: by_host,
+        unusable_routes: Vec::new(),
         pools: BTreeMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
@@ -86,3 +90,33 @@
         assert!(!has_valid_escapes(path), "{path}");
     }
 }
+
+/// Guards against a 404, or another pool, for a request whose route has an entry that can't be used; and against a 503 for
+/// one that no such entry can be about.
+#[test]
+fn an_unusable_route_takes_part_in_the_search() {
+    let unusable = |host: Option<&str>, prefix: Option<&str>| UnusableRoute {
+        host: host.map(str::to_owned),
+        prefix: prefix.map(str::to_owned),
+    };
+    let catalog = Catalog {
+        unusable_routes: vec![
+            unusable(Some("a.example"), Some("/x/y/")),
+            unusable(Some("a.example"), Some("/")),
+            unusable(Some("b.example"), None),
+            unusable(None, Some("/z/")),
+        ],
+        ..catalog(vec![route("a.example", "/x/"), route("b.example", "/x/")])
+    };
+    let find = |host, path| match catalog.match_route(host, path) {
+        RouteMatch::Found(route) => route.prefix.clone(),
+        other => format!("{other:?}"),
+    };
+    assert_eq!(find("a.example", "/x/y/1"), "Unusable");
+    assert_eq!(find("a.example", "/x/1"), "/x/");
+    assert_eq!(find("a.example", "/w"), "Unusable");
+    assert_eq!(find("b.example", "/x/1"), "/x/");
+    assert_eq!(find("b.example", "/w"), "Unsure");
+    assert_eq!(find("c.example", "/z/1"), "Unsure");
+    assert_eq!(find("c.example", "/w"), "Missing");
+}
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -232,6 +232,14 @@
             "the host couldn't tell whether its credential had been removed; it didn't run".to_owned(),
             "look for `credentials aren't accepted` and `store lost` at the host",
         ),
+        "route-unusable" => (
+            "its route is in the configuration, but the entry can't be used; it didn't run".to_owned(),
+            "see `part of the configuration can't be used` at the host, and run `ragworthub check configuration`",
+        ),
+        "route-unsure" => (
+            "no route that the host knew matches it, but the host may not have known all; it didn't run".to_owned(),
+            "look for `part of the configuration can't be used`, `configuration can't be read` and `store lost` at the host",
+        ),
         "memory-full" => (
             "the memory that the host may hold for callers was used up; it didn't run".to_owned(),
             "see `body not read to its end` for the limit and the caller, and `ragworthub_held_bytes`",
--- a/src/gateway/rejections.rs
+++ b/src/gateway/rejections.rs
@@ -36,12 +36,19 @@
     text.get(..LOGGED_TEXT_MAX).unwrap_or(text)
 }
 
-/// Logs a request that matches no route, with the age of the configuration that it was compared with.
-pub(super) fn log_unmatched(gateway: &Gateway, id: &HeaderValue, catalog: &Catalog, host: &str, path: &str) {
+/// Logs a request that matches no usable route, with the age of the configuration that it was compared with.
+pub(super) fn log_unmatched(
+    gateway: &Gateway,
+    id: &HeaderValue,
+    catalog: &Catalog,
+    host: &str,
+    path: &str,
+    reason: Reason,
+) {
     let now = Instant::now();
     warn!(gateway.log, "no route matches"; "request" => id.to_str().unwrap_or_default(),
         "host_header" => truncate(host), "path" => truncate(path), "configuration" => %catalog.version,
-        "in_force_ms" => gateway.catalog_changed.get().map(|at| millis(now.saturating_duration_since(at))),
+        "reason" => reason.as_str(), "in_force_ms" => gateway.catalog_changed.get().map(|at| millis(now.saturating_duration_since(at))),
         "store_age_ms" => gateway.feed.schedule.get().age(now).map(millis));
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -24,7 +24,7 @@
 use super::state::Gateway;
 use super::tenancy::{identify, return_token, set_tenant_headers, take_token};
 use crate::budget::RequestClass;
-use crate::catalog::{Catalog, Route, find_target, has_valid_escapes};
+use crate::catalog::{Catalog, Route, RouteMatch, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
 use crate::platform::{DEADLINE, EXPECTED_INSTANCE, REQUEST_ID, SHARD_KEY};
 use crate::tenants::Tenant;
@@ -39,6 +39,8 @@
 /// Range that `Retry-After` is drawn from while the host has no configuration or list of upstreams.
 const NOT_READY_RETRY_AFTER_MS: (u64, u64) = (100, 400);
 
+/// Range that `Retry-After` is drawn from while the route of a request isn't known for certain or can't be used.
+const UNSURE_RETRY_AFTER_MS: (u64, u64) = (200, 800);
 /// Range that `Retry-After` is drawn from while the memory for callers is used up: other bodies take about this time to
 /// be sent on or to be given up.
 const MEMORY_RETRY_AFTER_MS: (u64, u64) = (300, 1_500);
@@ -216,12 +218,7 @@
     if !has_valid_escapes(head.uri.path()) {
         return Err(refuse(Reason::BadPath));
     }
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let (host, path) = find_target(&head.uri, host);
-    let Some(route) = catalog.find_route(host, path).cloned() else {
-        log_unmatched(gateway, &id, &catalog, host, path);
-        return Err(refuse(Reason::NoRoute));
-    };
+    let route = find_route(gateway, &id, &catalog, &head)?;
     let caller_timeout = match head.headers.get(DEADLINE) {
         None => None,
         Some(value) => {
@@ -296,6 +293,26 @@
     })
 }
 
+/// Returns the route of a request.
+///
+/// # Errors
+///
+/// Returns the refusal of a request without a usable route.
+fn find_route(gateway: &Gateway, id: &HeaderValue, catalog: &Catalog, head: &Parts) -> Result<Route, Refusal> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let (host, path) = find_target(&head.uri, host);
+    let reason = match catalog.match_route(host, path) {
+        RouteMatch::Found(route) => return Ok(route.clone()),
+        RouteMatch::Unusable => Reason::RouteUnusable,
+        RouteMatch::Unsure => Reason::RouteUnsure,
+        RouteMatch::Missing => Reason::NoRoute,
+    };
+    log_unmatched(gateway, id, catalog, host, path, reason);
+    let may_exist = reason != Reason::NoRoute;
+    let retry_after = may_exist.then(|| draw_retry_after(gateway, UNSURE_RETRY_AFTER_MS));
+    Err(Refusal::not_run(reason, retry_after))
+}
+
 /// Reads the body of a request.
 async fn receive_body(
     gateway: &Gateway,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,10 +7,13 @@
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 use serde_json::value::RawValue;
 
-use super::units::{read_optional_time, read_time, read_version};
-use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target};
+use super::units::{
+    read_optional_time, read_optional_whole, read_or_default, read_time, read_version, read_weight, read_whole,
+};
+use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target, UnusableRoute};
 use crate::tenants::{Tenant, TenantDirectory};
 use crate::types::{Offset, PoolName, RouteName, TenantName};
 
@@ -18,6 +21,8 @@
 const DEFAULT_COLD_PER_S: f64 = 1e9;
 const DEFAULT_HEALTH_PATH: &str = "/health";
 const DEFAULT_MAX_ATTEMPTS: u32 = 1;
+/// Weight of the largest part of a split whose weights have fractions.
+const WEIGHT_SCALE: f64 = 1e6;
 
 #[derive(Deserialize)]
 struct WireConfiguration<'a> {
@@ -43,42 +48,46 @@
     name: RouteName,
     host: String,
     path_prefix: String,
+    #[serde(default, deserialize_with = "read_or_default")]
     kind: WireKind,
     #[serde(deserialize_with = "read_time")]
     timeout: Duration,
     #[serde(default, deserialize_with = "read_optional_time")]
     target_latency: Option<Duration>,
-    #[serde(default)]
-    priority: u8,
+    #[serde(default, deserialize_with = "read_optional_whole")]
+    priority: Option<u8>,
     service: Option<PoolName>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     traffic_split: Vec<WireTarget>,
+    #[serde(default, deserialize_with = "read_optional_whole")]
     max_attempts: Option<u32>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     public: bool,
 }
 
 #[derive(Deserialize)]
 struct WireTenant {
     name: TenantName,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     api_keys: Vec<String>,
+    #[serde(default, deserialize_with = "read_optional_whole")]
     priority: Option<u8>,
     /// Requests per second; 0 means no cap.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     rate_per_s: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     burst: f64,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireKind {
     Safe,
     Unsafe,
     Download,
     Upload,
-    /// A kind that this build doesn't know. Its requests run at most once, which is right for each kind.
+    /// No kind, or one that this build doesn't know. Its requests run at most once, which is right for each kind.
+    #[default]
     #[serde(other)]
     Unknown,
 }
@@ -86,24 +95,28 @@
 #[derive(Deserialize)]
 struct WireTarget {
     service: PoolName,
-    weight: u32,
+    #[serde(deserialize_with = "read_weight")]
+    weight: f64,
 }
 
 #[derive(Deserialize)]
 struct WireService {
     name: PoolName,
+    #[serde(deserialize_with = "read_whole")]
     max_connections: u32,
     #[serde(default, deserialize_with = "read_optional_time")]
     cold_start: Option<Duration>,
     cold_per_s: Option<f64>,
     health_path: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_or_default")]
     sharded: bool,
 }
 
 #[derive(Deserialize)]
 struct WireLimits {
+    #[serde(deserialize_with = "read_whole")]
     max_header_bytes: usize,
+    #[serde(deserialize_with = "read_whole")]
     max_body_bytes: usize,
     #[serde(deserialize_with = "read_time")]
     idle_timeout: Duration,
@@ -135,7 +148,7 @@
 }
 
 /// Decodes a configuration. An entry that can't be decoded is left out and becomes a fault, so that it doesn't keep the
-/// others from coming into force.
+/// others from coming into force. Of a route that is left out, host and prefix are kept as far as they can be read.
 ///
 /// # Errors
 ///
@@ -157,12 +170,14 @@
         faults: Vec::new(),
         lines: BTreeMap::new(),
     };
-    let routes = build_routes(entries.decode("route", wire.routes), &mut entries);
-    let pools = entries.decode::<WireService>("service", wire.services);
+    let (routes, rejected) = entries.decode("route", wire.routes);
+    let mut unusable_routes: Vec<UnusableRoute> = rejected.into_iter().map(read_unusable).collect();
+    let routes = build_routes(routes, &mut entries, &mut unusable_routes);
+    let (pools, _) = entries.decode::<WireService>("service", wire.services);
     let pools = pools.into_iter().map(|located| convert_pool(located.value));
     let pools = pools.map(|pool| (pool.name.clone(), pool)).collect();
     let tenants = wire.tenants.map(|tenants| {
-        let tenants = entries.decode("tenant", tenants);
+        let (tenants, _) = entries.decode("tenant", tenants);
         build_directory(hash_key, tenants, &mut entries)
     });
     let catalog = Catalog {
@@ -170,6 +185,7 @@
         version: CatalogVersion(wire.version),
         offset,
         routes,
+        unusable_routes,
         pools,
         limits: CallerLimits {
             header_bytes: wire.limits.max_header_bytes,
@@ -211,9 +227,13 @@
 }
 
 impl Entries<'_> {
-    /// Decodes the entries of a list one by one and adds a fault for each that can't be decoded.
-    fn decode<T: DeserializeOwned>(&mut self, kind: &str, entries: Vec<&RawValue>) -> Vec<Located<T>> {
-        let mut decoded = Vec::new();
+    /// Decodes the entries of a list one by one. Adds a fault for each that can't be decoded, and returns these too.
+    fn decode<'r, T: DeserializeOwned>(
+        &mut self,
+        kind: &str,
+        entries: Vec<&'r RawValue>,
+    ) -> (Vec<Located<T>>, Vec<&'r RawValue>) {
+        let (mut decoded, mut rejected) = (Vec::new(), Vec::new());
         for (number, raw) in entries.into_iter().enumerate() {
             let line = self.line_of(raw);
             let name = serde_json::from_str::<WireName>(raw.get());
@@ -225,14 +245,17 @@
             let value = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(raw.get()));
             match value {
                 Ok(value) => decoded.push(Located { line, entry, value }),
-                Err(error) => self.faults.push(Fault {
-                    line: line + error.inner().line().saturating_sub(1),
-                    entry,
-                    text: format!("field {}: {}; the entry is left out", error.path(), error.inner()),
-                }),
+                Err(error) => {
+                    rejected.push(raw);
+                    self.faults.push(Fault {
+                        line: line + error.inner().line().saturating_sub(1),
+                        entry,
+                        text: format!("field {}: {}; the entry is left out", error.path(), error.inner()),
+                    });
+                }
             }
         }
-        decoded
+        (decoded, rejected)
     }
 
     /// Returns the line of the text in which an entry, which is a part of the text, starts.
@@ -242,7 +265,27 @@
     }
 }
 
-fn build_routes(wire: Vec<Located<WireRoute>>, entries: &mut Entries<'_>) -> BTreeMap<String, BTreeMap<String, Route>> {
+/// Reads host and prefix of a route whose entry can't be decoded.
+fn read_unusable(raw: &RawValue) -> UnusableRoute {
+    let entry = serde_json::from_str::<Value>(raw.get()).unwrap_or_default();
+    let text = |field: &str| entry[field].as_str();
+    UnusableRoute {
+        host: text("host").map(str::to_ascii_lowercase),
+        prefix: text("path_prefix").and_then(readable_prefix),
+    }
+}
+
+/// Returns a prefix that a path can start with.
+fn readable_prefix(prefix: &str) -> Option<String> {
+    prefix.starts_with('/').then(|| prefix.to_owned())
+}
+
+/// Returns the routes by host and prefix. A route whose prefix isn't bounded by slashes is unusable as well.
+fn build_routes(
+    wire: Vec<Located<WireRoute>>,
+    entries: &mut Entries<'_>,
+    unusable: &mut Vec<UnusableRoute>,
+) -> BTreeMap<String, BTreeMap<String, Route>> {
     let mut routes: BTreeMap<String, BTreeMap<String, Route>> = BTreeMap::new();
     for located in wire {
         if matches!(located.value.kind, WireKind::Unknown) {
@@ -252,6 +295,12 @@
         }
         let fault = located.fault("");
         let route = convert_route(located.value);
+        if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+            unusable.push(UnusableRoute {
+                host: Some(route.host.clone()),
+                prefix: readable_prefix(&route.prefix),
+            });
+        }
         let known = routes.entry(route.host.clone()).or_default();
         if let Some(other) = known.get(&route.prefix) {
             entries.faults.push(Fault {
@@ -300,7 +349,7 @@
 fn convert_route(wire: WireRoute) -> Route {
     let targets = match wire.service {
         Some(pool) => vec![Target { pool, weight: 1 }],
-        None => wire.traffic_split.into_iter().map(convert_target).collect(),
+        None => convert_split(wire.traffic_split),
     };
     Route {
         name: wire.name,
@@ -314,18 +363,28 @@
         },
         timeout: wire.timeout,
         objective: wire.target_latency.unwrap_or(wire.timeout),
-        priority: wire.priority,
+        priority: wire.priority.unwrap_or_default(),
         attempts: wire.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS).max(1),
         targets,
         is_public: wire.public,
     }
 }
 
-fn convert_target(wire: WireTarget) -> Target {
-    Target {
-        pool: wire.service,
-        weight: wire.weight,
-    }
+/// Converts the parts of a split. Weights with fractions are scaled to whole ones.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an `as` conversion keeps a number in range"
+)]
+fn convert_split(split: Vec<WireTarget>) -> Vec<Target> {
+    let is_whole = split.iter().all(|part| part.weight.fract() == 0.0);
+    let largest = split.iter().map(|part| part.weight).fold(0.0, f64::max);
+    let scale = if is_whole { 1.0 } else { WEIGHT_SCALE / largest };
+    let convert = |part: WireTarget| Target {
+        pool: part.service,
+        weight: (part.weight * scale).round() as u32,
+    };
+    split.into_iter().map(convert).collect()
 }
 
 fn convert_pool(wire: WireService) -> Pool {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -11,7 +11,7 @@
 use super::{
     Decoded, OperatorKey, decode_bounds, decode_catalog, decode_server, decode_with_key, read_load, read_operator_key,
 };
-use crate::catalog::{Idempotency, Phase, compare};
+use crate::catalog::{Idempotency, Phase, RouteMatch, compare};
 use crate::types::Offset;
 
 const CONFIGURATION: &str = include_str!("../../../examples/platform/configuration.json");
@@ -66,6 +66,54 @@
     assert!(faults[0].text.contains("field kind"), "{faults:?}");
 }
 
+/// Guards against leaving out a route because a field with an obvious meaning is `null`, absent or a whole number with a
+/// fraction of zero, and against shares that differ from the weights.
+#[test]
+fn fields_with_an_obvious_meaning_are_decoded() {
+    let path = "/renovaciones/7";
+    let with = |from: &str, to: &str| {
+        let text = CONFIGURATION.replace(from, to);
+        assert_ne!(text, CONFIGURATION, "{from}");
+        decode_catalog(Offset(4), text.as_bytes()).expect("a configuration")
+    };
+    let service = "\"service\": \"renovaciones\"";
+    for (from, to) in [
+        ("\"priority\": 1", "\"priority\": 1.0"),
+        ("\"priority\": 1", "\"priority\": null"),
+        ("\"max_attempts\": 2", "\"max_attempts\": 2.0"),
+        ("\"target_latency\": \"400ms\"", "\"target_latency\": null"),
+        (
+            service,
+            "\"traffic_split\": null, \"public\": null, \"service\": \"renovaciones\"",
+        ),
+        ("\"max_connections\": 110", "\"max_connections\": 110.0"),
+        ("\"max_body_bytes\": 67108864", "\"max_body_bytes\": 67108864.0"),
+    ] {
+        let Decoded { catalog, faults, .. } = with(from, to);
+        assert!(faults.is_empty(), "{to}: {faults:?}");
+        assert!(catalog.find_route("licencias.example", path).is_some(), "{to}");
+        assert_eq!(catalog.limits.body_bytes, 67_108_864, "{to}");
+    }
+    for (first, second, shares) in [
+        ("3", "1.0", [3, 1]),
+        ("0.75", "0.25", [1_000_000, 333_333]),
+        ("0", "2", [0, 2]),
+    ] {
+        let split = format!(
+            "\"service\": null, \"traffic_split\": [{{\"service\": \"placas\", \"weight\": {first}}}, \
+             {{\"service\": \"renovaciones\", \"weight\": {second}}}]"
+        );
+        let Decoded { catalog, faults, .. } = with(service, &split);
+        assert!(faults.is_empty(), "{split}: {faults:?}");
+        let route = catalog.find_route("licencias.example", path).expect("a route");
+        let weights: Vec<u32> = route.targets.iter().map(|target| target.weight).collect();
+        assert_eq!(weights, shares, "{split}");
+    }
+    let Decoded { catalog, faults, .. } = with("\"priority\": 1", "\"priority\": -1");
+    assert_eq!(faults.len(), 2);
+    assert_eq!(catalog.match_route("licencias.example", path), RouteMatch::Unusable);
+}
+
 /// Guards against accepting a malformed record of another writer, or a part of it.
 #[test]
 fn malformed_records_are_rejected() {
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -84,6 +84,10 @@
 reasons! {
     /// No route matches the request.
     NoRoute = "no-route", 404;
+    /// The request's route exists, but its entry in the configuration can't be used.
+    RouteUnusable = "route-unusable", 503;
+    /// No known route matches the request, but the host may not know all routes.
+    RouteUnsure = "route-unsure", 503;
     /// The pool is sharded by key and the request has no key.
     KeyMissing = "key-missing", 400;
     /// A header of the request doesn't parse, or its framing is ambiguous.
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -3,8 +3,10 @@
 use std::io::Write;
 use std::time::Duration;
 
-use super::Cluster;
+use serde_json::{Value, json};
+
 use super::hostile::{append_record, entry, start_raw_server, start_with_raw_server};
+use super::{Cluster, Response, wait_for};
 
 const SIGNED: &str = "X-Ragworthub-Response-Signature: raw\r\n";
 const NOT_EXECUTED: &str = "X-Ragworthub-Not-Executed: 1\r\n";
@@ -98,3 +100,74 @@
         assert_eq!(response.status, 200, "request {number}");
     }
 }
+
+/// Publishes the example configuration with another version and a change, as text.
+fn publish(cluster: &Cluster, version: u32, change: impl FnOnce(&mut Value)) {
+    let text = std::fs::read_to_string(super::CONFIGURATION).expect("the example configuration");
+    let mut configuration: Value = serde_json::from_str(&text).expect("JSON");
+    configuration["version"] = json!(format!("{version:08x}"));
+    change(&mut configuration);
+    let path = cluster.directory.path().join(format!("configuration-{version}.json"));
+    std::fs::write(&path, configuration.to_string()).expect("a configuration file");
+    cluster.publish(&path);
+}
+
+fn get(cluster: &Cluster, path: &str) -> Response {
+    cluster.call(0, "GET", path, "b", None)
+}
+
+/// Checks that a response is a refusal for a reason, with the promise that the request has not run and a time to return.
+fn assert_refused(response: &Response, reason: &str) {
+    let header = |name: &str| response.headers.get(name).map(String::as_str);
+    assert_eq!((response.status, header("ragworthub-reason")), (503, Some(reason)));
+    assert_eq!(header("ragworthub-verdict"), Some("not-run"));
+    assert!(header("retry-after").is_some(), "{:?}", response.headers);
+}
+
+/// Guards against telling callers that a route doesn't exist, or sending their requests to the pool of a shorter prefix,
+/// because the gateway can't use the route's entry.
+#[test]
+fn unusable_route_does_not_blame_its_callers() {
+    let cluster = Cluster::start(1);
+    publish(&cluster, 2, |configuration| {
+        let routes = configuration["routes"].as_array_mut().expect("routes");
+        let mut add = |prefix: &str, fields: Value| {
+            let mut route = routes[2].clone();
+            route["name"] = json!(prefix.trim_matches('/').replace('/', "-"));
+            route["path_prefix"] = json!(prefix);
+            let fields = fields.as_object().expect("fields").clone();
+            route.as_object_mut().expect("a route").extend(fields);
+            routes.push(route);
+        };
+        add("/flotas/broken/", json!({"timeout": 7}));
+        add("/short", json!({}));
+        add("/new/", json!({}));
+        let split = json!([{"service": "renovaciones", "weight": 0.5}, {"service": "renovaciones", "weight": 1.5}]);
+        add("/split/", json!({"service": null, "traffic_split": split}));
+        add(
+            "/null/",
+            json!({"traffic_split": null, "priority": null, "target_latency": null, "public": null}),
+        );
+        add("/float/", json!({"priority": 1.0, "max_attempts": 2.0}));
+    });
+    wait_for("the configuration to be in force", || {
+        (get(&cluster, "/new/1").status == 200).then_some(())
+    });
+    assert_refused(&get(&cluster, "/flotas/broken/1"), "route-unusable");
+    assert_refused(&get(&cluster, "/short/1"), "route-unusable");
+    for path in ["/flotas/1", "/split/1", "/null/1", "/float/1"] {
+        assert_eq!(get(&cluster, path).status, 200, "{path}");
+    }
+    assert_eq!(get(&cluster, "/none/1").status, 404);
+    publish(&cluster, 3, |configuration| {
+        configuration["routes"]
+            .as_array_mut()
+            .expect("routes")
+            .push(Value::Null);
+    });
+    wait_for("the route without a host to be known", || {
+        (get(&cluster, "/new/1").status != 200).then_some(())
+    });
+    assert_refused(&get(&cluster, "/none/1"), "route-unsure");
+    assert_eq!(get(&cluster, "/flotas/1").status, 200);
+}
