Answer 404 only while the host knows the newest configuration

Cause: a newer configuration that can't be read as a whole leaves the previous one in use, and a host that is cut off from the store keeps its last one without limit. In both cases callers of new routes got 404, which ends their retries. A host to which reads are relayed also counted as current while it still lacked operators' records too large to be relayed.

Change: Currency, pure code, decides whether the host can prove that something isn't configured: it knows of no newer configuration or unread records, and has known all that the store holds within the bound `config_apply` (2 s by default). Otherwise a request that matches no route gets `route-unsure` (503 with Retry-After). Requests that match a route are served as before.

The two unit tests use the new function and could not run before.

--- /dev/null
+++ b/src/catalog/currency.rs
@@ -0,0 +1,20 @@
+//! How well a host knows the configuration that operators have published.
+
+use std::time::Duration;
+
+/// What a host knows about the currency of its configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Currency {
+    /// The store holds a newer configuration that the host can't decode, or newer records that it hasn't read.
+    pub(crate) has_newer: bool,
+    /// Time since the host last knew all that the store holds; `None` if it never did.
+    pub(crate) age: Option<Duration>,
+}
+
+impl Currency {
+    /// Reports whether the host can tell callers that something isn't configured. `bound` is the time within which a
+    /// configuration has to be in force at all hosts.
+    pub(crate) fn proves_absence(self, bound: Duration) -> bool {
+        !self.has_newer && self.age.is_some_and(|age| age < bound)
+    }
+}
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -11,10 +11,12 @@
 use crate::types::{Offset, PoolName, RouteName, UpstreamName, Zone};
 
 mod check;
+mod currency;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use check::{Finding, compare};
+pub(crate) use currency::Currency;
 
 /// Version number that operators give a configuration. A host replaces the configuration in force only by
 /// one with a higher version.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use super::{
-    CallerLimits, Catalog, CatalogVersion, Idempotency, Route, RouteMatch, Target, UnusableRoute, find_target,
-    has_valid_escapes,
+    CallerLimits, Catalog, CatalogVersion, Currency, Idempotency, Route, RouteMatch, Target, UnusableRoute,
+    find_target, has_valid_escapes,
 };
 use crate::types::Offset;
 
@@ -120,3 +120,18 @@
     assert_eq!(find("c.example", "/z/1"), "Unsure");
     assert_eq!(find("c.example", "/w"), "Missing");
 }
+
+/// Guards against a 404 from a host that doesn't know the newest configuration, and against a 503 from one that does.
+#[test]
+fn only_a_current_configuration_proves_absence() {
+    let bound = Duration::from_secs(2);
+    let proves = |has_newer, age: Option<u64>| {
+        let age = age.map(Duration::from_millis);
+        Currency { has_newer, age }.proves_absence(bound)
+    };
+    // The longest time between two reads of the store in steady state.
+    assert!(proves(false, Some(1_300)));
+    assert!(!proves(false, Some(2_000)));
+    assert!(!proves(false, None));
+    assert!(!proves(true, Some(0)));
+}
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -38,6 +38,8 @@
 pub(crate) struct Feed {
     /// Offset of the next record of each topic that has been listed.
     next_offsets: RefCell<BTreeMap<Topic, Offset>>,
+    /// Offset of the next record of each topic as other hosts know it.
+    relayed_offsets: RefCell<BTreeMap<Topic, Offset>>,
     /// Topics that have to be read without waiting for the schedule.
     requested: RefCell<BTreeSet<Topic>>,
     read_requested: Notify,
@@ -66,6 +68,7 @@
     pub(crate) fn new(jitter: f64) -> Self {
         Self {
             next_offsets: RefCell::default(),
+            relayed_offsets: RefCell::default(),
             requested: RefCell::default(),
             read_requested: Notify::new(),
             store_lost: Cell::new(false),
@@ -110,6 +113,17 @@
         self.read_requested.notify_one();
     }
 
+    fn record_relayed_offset(&self, topic: Topic, next: Offset) {
+        let mut offsets = self.relayed_offsets.borrow_mut();
+        let known = offsets.entry(topic).or_default();
+        *known = next.max(*known);
+    }
+
+    /// Reports whether another host has records of a topic that this host still has to read.
+    pub(super) fn lacks_records(&self, topic: Topic) -> bool {
+        self.relayed_offsets.borrow().get(&topic).copied() > self.next_offset(topic)
+    }
+
     pub(super) fn next_offset(&self, topic: Topic) -> Option<Offset> {
         self.next_offsets.borrow().get(&topic).copied()
     }
@@ -182,6 +196,8 @@
 
 fn record_success(gateway: &Gateway, started: Instant, topics: &BTreeSet<Topic>, deltas: Vec<TopicDelta>) {
     if topics.len() == Topic::ALL.len() && gateway.feed.requested.borrow().is_empty() {
+        // This host has read all records, whatever other hosts said.
+        gateway.feed.relayed_offsets.borrow_mut().clear();
         let mut schedule = gateway.feed.schedule.get();
         schedule.record_read(started);
         gateway.feed.schedule.set(schedule);
@@ -306,6 +322,7 @@
     record_store_recovery(gateway);
     let mut has_stale = false;
     for delta in deltas {
+        gateway.feed.record_relayed_offset(delta.topic, delta.next);
         let next = gateway.feed.next_offset(delta.topic);
         let needs_read = match delta.continuity(next) {
             Continuity::Current => false,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -23,6 +23,7 @@
 use super::rejections::{ExpectedBody, log_unmatched, log_unread_body};
 use super::state::Gateway;
 use super::tenancy::{identify, return_token, set_tenant_headers, take_token};
+use super::watch::proves_absence;
 use crate::budget::RequestClass;
 use crate::catalog::{Catalog, Route, RouteMatch, find_target, has_valid_escapes};
 use crate::fleet::Fingerprint;
@@ -304,8 +305,8 @@
     let reason = match catalog.match_route(host, path) {
         RouteMatch::Found(route) => return Ok(route.clone()),
         RouteMatch::Unusable => Reason::RouteUnusable,
-        RouteMatch::Unsure => Reason::RouteUnsure,
-        RouteMatch::Missing => Reason::NoRoute,
+        RouteMatch::Missing if proves_absence(gateway) => Reason::NoRoute,
+        RouteMatch::Unsure | RouteMatch::Missing => Reason::RouteUnsure,
     };
     log_unmatched(gateway, id, catalog, host, path, reason);
     let may_exist = reason != Reason::NoRoute;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,7 +31,7 @@
 use crate::relay::Topic;
 use crate::settings::Settings;
 use crate::telemetry::{Metrics, StateSnapshot};
-use crate::types::{HostName, PoolName, RouteName, UpstreamName, Zone};
+use crate::types::{HostName, Offset, PoolName, RouteName, UpstreamName, Zone};
 
 /// Weight of one response in the moving average of a route's latency.
 const TYPICAL_LATENCY_WEIGHT: f64 = 0.05;
@@ -112,6 +112,8 @@
     /// Woken when a key table changes.
     pub(crate) tables_changed: Notify,
     pub(crate) feed: Feed,
+    /// Record of a configuration that can't be decoded and is newer than the one in force.
+    pub(crate) unread_catalog: Cell<Option<Offset>>,
     /// When the configuration last changed.
     pub(crate) catalog_changed: Cell<Option<Instant>>,
     /// When the owners of keys last changed.
@@ -201,6 +203,7 @@
             moving_since: RefCell::default(),
             tables_changed: Notify::new(),
             feed: Feed::new(rng.random()),
+            unread_catalog: Cell::default(),
             catalog_changed: Cell::default(),
             owners_changed: Cell::default(),
             owners_refreshed: Cell::default(),
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -10,7 +10,7 @@
 use super::gateway;
 use crate::gateway::feed::{apply_deltas, apply_records, record_failure, retry_deferred};
 use crate::gateway::state::Gateway;
-use crate::gateway::watch::apply_table_delta;
+use crate::gateway::watch::{apply_table_delta, proves_absence};
 use crate::keys::{KeyRange, KeyTable};
 use crate::platform::{Record, StoreError};
 use crate::relay::{Topic, TopicDelta, Update};
@@ -252,3 +252,26 @@
     apply_deltas(&gateway, &[relay(2, vec![Update::Record(record(2, &Step::Remove(1)))])]);
     assert!(known_upstreams(&gateway).is_empty());
 }
+
+/// Guards against a 404 from a host to which other hosts relay their reads, while it lacks records of operators that were
+/// too large to be relayed and hasn't read them itself.
+#[tokio::test(start_paused = true)]
+async fn host_that_lacks_records_of_operators_proves_no_absence() {
+    let gateway = gateway();
+    let delta = |from: u64, next: u64, updates| TopicDelta {
+        topic: Topic::Operators,
+        from: Offset(from),
+        next: Offset(next),
+        updates,
+    };
+    apply_records(&gateway, Topic::Operators, Offset(5), Vec::new());
+    assert!(!proves_absence(&gateway), "nothing is known yet");
+    apply_deltas(&gateway, &[delta(5, 5, Some(Vec::new()))]);
+    assert!(proves_absence(&gateway));
+    apply_deltas(&gateway, &[delta(5, 6, None)]);
+    assert!(!proves_absence(&gateway), "a record is missing");
+    apply_records(&gateway, Topic::Operators, Offset(6), Vec::new());
+    assert!(proves_absence(&gateway));
+    tokio::time::advance(gateway.bounds.configuration).await;
+    assert!(!proves_absence(&gateway), "no read for too long");
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -11,7 +11,7 @@
 use super::crashes::{record_end, resend_reports};
 use super::feed::{follow_topics, retry_deferred};
 use super::state::{Gateway, Presence};
-use crate::catalog::CatalogVersion;
+use crate::catalog::{CatalogVersion, Currency};
 use crate::fleet::Change;
 use crate::keys::{KeyTable, TableDelta};
 use crate::platform::{Decoded, OperatorKey, Record, decode_catalog, decode_server, read_operator_key};
@@ -87,11 +87,25 @@
     Some(Update::Record(record.clone()))
 }
 
+/// Reports whether this host can tell callers that something isn't configured: it knows the newest configuration.
+pub(super) fn proves_absence(gateway: &Gateway) -> bool {
+    let currency = Currency {
+        has_newer: gateway.unread_catalog.get().is_some() || gateway.feed.lacks_records(Topic::Operators),
+        age: gateway.feed.schedule.get().age(Instant::now()),
+    };
+    currency.proves_absence(gateway.bounds.configuration)
+}
+
 /// Installs a configuration if its version is higher than that of the one in force. The record of the one
 /// in force is ignored when it is read again.
 pub(crate) fn apply_catalog(gateway: &Gateway, offset: Offset, text: &[u8]) {
     let known = gateway.catalog.borrow().as_ref().map(|c| (c.version, c.offset));
-    match decode_catalog(offset, text) {
+    let decoded = decode_catalog(offset, text);
+    let unread = gateway.unread_catalog.get().filter(|unread| *unread > offset);
+    gateway
+        .unread_catalog
+        .set(unread.or(decoded.is_err().then_some(offset)));
+    match decoded {
         Ok(decoded) if known.is_some_and(|(version, at)| decoded.catalog.version <= version && at != offset) => {
             warn!(gateway.log, "older configuration passed over"; "version" => %decoded.catalog.version,
                 "offset" => offset.0, "in_force" => %known.map_or(CatalogVersion(0), |(version, _)| version));
--- a/src/platform/bounds.rs
+++ b/src/platform/bounds.rs
@@ -25,6 +25,8 @@
     pub(crate) cold_extra: f64,
     /// Time after which the upstreams of an evacuated availability zone receive no more requests.
     pub(crate) evacuation: Duration,
+    /// Time within which a configuration has to be in force at all hosts.
+    pub(crate) configuration: Duration,
     /// Time after which no host accepts a credential that operators have removed; `None` without such a bound.
     pub(crate) revocation: Option<Duration>,
     /// Window over which the requests of a tenant are counted.
@@ -48,6 +50,7 @@
             cold_factor: 1.0,
             cold_extra: 1.0,
             evacuation: Duration::from_secs(5),
+            configuration: Duration::from_secs(2),
             revocation: None,
             cap_window: Duration::from_secs(5),
             cap_overage: 0.0,
@@ -84,6 +87,7 @@
             "budget_extra" => bounds.retry_extra = number()?,
             "cold_burst_factor" => bounds.cold_factor = number()?,
             "cold_slack" => bounds.cold_extra = number()?,
+            "config_apply" => bounds.configuration = time()?,
             "evacuate" => bounds.evacuation = time()?,
             "strict_revoke" => is_strict = value == "true",
             "revoke" => revocation = Some(time()?),
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::hostile::{append_record, entry, start_raw_server, start_with_raw_server};
-use super::{Cluster, Response, wait_for};
+use super::{Cluster, Response, set_fault, wait_for};
 
 const SIGNED: &str = "X-Ragworthub-Response-Signature: raw\r\n";
 const NOT_EXECUTED: &str = "X-Ragworthub-Not-Executed: 1\r\n";
@@ -171,3 +171,49 @@
     assert_refused(&get(&cluster, "/none/1"), "route-unsure");
     assert_eq!(get(&cluster, "/flotas/1").status, 200);
 }
+
+/// Guards against a 404 for a route of a newer configuration that the gateway can't read as a whole.
+#[test]
+fn unreadable_configuration_does_not_blame_callers_of_its_routes() {
+    let cluster = Cluster::start(1);
+    assert_eq!(get(&cluster, "/new/1").status, 404);
+    publish(&cluster, 2, |configuration| configuration["limits"] = Value::Null);
+    // The time within which a configuration has to be in force.
+    std::thread::sleep(Duration::from_secs(2));
+    assert_refused(&get(&cluster, "/new/1"), "route-unsure");
+    assert_eq!(get(&cluster, "/flotas/1").status, 200);
+    publish(&cluster, 3, |_| {});
+    wait_for("the readable configuration to be in force", || {
+        (get(&cluster, "/new/1").status == 404).then_some(())
+    });
+}
+
+/// Guards against a 404 from a gateway that may not know the newest routes because the store doesn't answer, and against a
+/// 503 for a wrong path while the store does, at gateways that read the store and at those to which others relay it.
+#[test]
+fn absent_route_is_certain_only_while_the_store_is_followed() {
+    let cluster = Cluster::start(3);
+    let is_certain = |gateway: usize| {
+        let response = cluster.call(gateway, "GET", "/new/1", "b", None);
+        if response.status != 404 {
+            assert_refused(&response, "route-unsure");
+        }
+        response.status == 404
+    };
+    for _ in 0..120 {
+        for gateway in 0..3 {
+            assert!(is_certain(gateway), "gateway {gateway} in steady state");
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    set_fault(cluster.store.address, &json!({ "down": true }));
+    std::thread::sleep(Duration::from_secs(4));
+    for gateway in 0..3 {
+        assert!(!is_certain(gateway), "gateway {gateway} without the store");
+    }
+    assert_eq!(get(&cluster, "/flotas/1").status, 200);
+    set_fault(cluster.store.address, &json!({ "down": false }));
+    for gateway in 0..3 {
+        wait_for("404 again", || is_certain(gateway).then_some(()));
+    }
+}
