Close kept connections when the limits on callers rise

Cause: the limit on heads and the idle timeout are set on a connection when it is accepted. A connection that was kept across a change of the configuration rejected heads with 431 that the configuration in force allows.

Change: when a configuration allows longer heads or a longer idle time than a connection, the connection closes after the request in progress, or at once if it has none; callers open a new one. Connections stay open when a limit falls or doesn't change, and their buffers stay within the limit that they were accepted with.

Measured: `kept_connection_follows_the_limit_on_heads` failed on the previous commit (`the kept connection got 431`) and passes; `change_of_limits_breaks_no_request` passed before and after. The gateway tests (39), the memory tests (10) and the tests of the crate (137) pass, one run each. The idle timeout has no test of its own.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -26,6 +26,8 @@
 
 /// Limit on the head of a request while there is no configuration.
 const DEFAULT_HEAD_MAX_BYTES: usize = 64 << 10;
+/// Smallest limit on heads that the HTTP library takes.
+const HEAD_LIMIT_MIN_BYTES: usize = 8_192;
 /// Idle timeout of a caller's connection while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of open connections for readiness checks, and of those for metrics.
@@ -111,6 +113,53 @@
     }
 }
 
+/// Limits on callers that apply to a connection for as long as it is open.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionLimits {
+    head_bytes: usize,
+    idle_time: Duration,
+}
+
+impl ConnectionLimits {
+    /// Returns the limits of the configuration in force.
+    fn in_force(gateway: &Gateway) -> Self {
+        match gateway.catalog.borrow().as_ref() {
+            Some(catalog) => Self {
+                head_bytes: catalog.limits.header_bytes.max(HEAD_LIMIT_MIN_BYTES),
+                idle_time: catalog.limits.idle_time,
+            },
+            None => Self {
+                head_bytes: DEFAULT_HEAD_MAX_BYTES,
+                idle_time: DEFAULT_IDLE_TIMEOUT,
+            },
+        }
+    }
+
+    /// Reports whether callers may send or do something that other limits forbid.
+    fn exceeds(self, other: Self) -> bool {
+        self.head_bytes > other.head_bytes || self.idle_time > other.idle_time
+    }
+}
+
+/// Waits until a connection has to close after the request in progress: the process stops, or callers may do more than
+/// the limits of the connection allow.
+async fn wait_for_last_request(gateway: &Gateway, limits: ConnectionLimits) {
+    loop {
+        let drain_started = gateway.drain_started.notified();
+        let limits_changed = gateway.limits_changed.notified();
+        tokio::pin!(drain_started, limits_changed);
+        drain_started.as_mut().enable();
+        limits_changed.as_mut().enable();
+        if gateway.is_draining.get() || ConnectionLimits::in_force(gateway).exceeds(limits) {
+            return;
+        }
+        tokio::select! {
+            () = drain_started => {}
+            () = limits_changed => {}
+        }
+    }
+}
+
 /// Reserves memory for a new connection. If there is no room for it, the connection that uses its room least is closed;
 /// without one the new connection is refused.
 async fn admit_caller(gateway: &Gateway, address: SocketAddr) -> Option<Reservation> {
@@ -141,10 +190,7 @@
 
 async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, caller: Caller) {
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
-    let (head_max, idle) = match gateway.catalog.borrow().as_ref() {
-        Some(catalog) => (catalog.limits.header_bytes.max(8_192), catalog.limits.idle_time),
-        None => (DEFAULT_HEAD_MAX_BYTES, DEFAULT_IDLE_TIMEOUT),
-    };
+    let limits = ConnectionLimits::in_force(&gateway);
     let state = Rc::clone(&gateway);
     let stream = Rc::new(RefCell::new(stream));
     let service_caller = caller.clone();
@@ -152,30 +198,26 @@
         service_fn(move |request: Request<Incoming>| serve(Rc::clone(&state), request, service_caller.clone()));
     let connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head_max)
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.head_bytes)
         .max_headers(HEADERS_MAX)
         .serve_connection(
             TokioIo::new(CallerStream::new(Rc::clone(&stream), caller.clone())),
             service,
         );
     let mut connection = Box::pin(connection);
-    let drain_started = gateway.drain_started.notified();
-    tokio::pin!(drain_started);
-    drain_started.as_mut().enable();
-    if gateway.is_draining.get() {
-        connection.as_mut().graceful_shutdown();
-    }
     let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = caller.wait_for_close() => Ok(()),
-        () = drain_started => {
+        // First, so that a connection accepted during a shutdown begins no request.
+        biased;
+        () = wait_for_last_request(&gateway, limits) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 result = connection.as_mut() => result,
                 () = caller.wait_for_close() => Ok(()),
             }
         }
+        result = connection.as_mut() => result,
+        () = caller.wait_for_close() => Ok(()),
     };
     drop(connection);
     if let Err(error) = result {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -162,6 +162,8 @@
     pub(crate) drain_started: Notify,
     /// Set before `drain_started` is notified, for connections that are accepted afterwards.
     pub(crate) is_draining: Cell<bool>,
+    /// Tells the connections of callers that a configuration with other limits on callers is in force.
+    pub(crate) limits_changed: Notify,
     /// Tells the requests that have no response yet that this host has to respond now.
     pub(crate) answers_due: Notify,
     /// Set before `answers_due` is notified, for requests that arrive afterwards.
@@ -233,6 +235,7 @@
             caller_connections: Cell::new(0),
             drain_started: Notify::new(),
             is_draining: Cell::new(false),
+            limits_changed: Notify::new(),
             answers_due: Notify::new(),
             answers_ended: Cell::new(false),
         }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -119,7 +119,11 @@
             info!(gateway.log, "configuration in force"; "version" => %catalog.version, "offset" => offset.0,
                 "pools" => catalog.pools.len());
             gateway.memory.set_largest_body(catalog.limits.body_bytes);
-            *gateway.catalog.borrow_mut() = Some(Rc::new(catalog));
+            let limits = catalog.limits.clone();
+            let previous = gateway.catalog.borrow_mut().replace(Rc::new(catalog));
+            if previous.is_none_or(|previous| previous.limits != limits) {
+                gateway.limits_changed.notify_waiters();
+            }
             gateway.reset_cold_quotas();
             gateway.catalog_changed.set(Some(Instant::now()));
         }
--- a/standins/tests/gateway/rejections.rs
+++ b/standins/tests/gateway/rejections.rs
@@ -2,9 +2,9 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::{CONFIGURATION, Cluster, HOST_HEADER, Response};
+use super::{CONFIGURATION, Cluster, HOST_HEADER, Response, wait_for};
 
 /// Time that callers wait for a response, longer than any timeout of these tests.
 const ANSWER_MAX: Duration = Duration::from_secs(30);
@@ -241,3 +241,80 @@
         assert_eq!(cluster.run_count(id), 0, "{id}");
     }
 }
+
+/// Sends a request with a head of about this many bytes and reads the response.
+fn call_with_head(stream: &mut TcpStream, id: &str, bytes: usize) -> Response {
+    let filler = format!("Content-Length: 0\r\nFiller: {}\r\n\r\n", "x".repeat(bytes));
+    // The gateway may have closed the connection.
+    let _ = stream.write_all(head(id, &filler).as_bytes());
+    read_response(stream)
+}
+
+/// Waits until new connections accept heads of about this many bytes, or reject them.
+fn wait_for_head_limit(cluster: &Cluster, version: &str, bytes: usize, status: u16) {
+    let mut number = 0;
+    wait_for("the new limit on heads", || {
+        number += 1;
+        let id = format!("new-{version}-{number}");
+        let response = call_with_head(&mut connect(cluster), &id, bytes);
+        (response.status == status).then_some(())
+    });
+}
+
+/// Guards against a kept connection that rejects heads which the configuration allows since a change, and against closing
+/// connections that a change doesn't concern.
+#[test]
+fn kept_connection_follows_the_limit_on_heads() {
+    let cluster = Cluster::start(1);
+    let mut kept = connect(&cluster);
+    assert_eq!(call_with_head(&mut kept, "kept-1", 100).status, 200);
+    publish(
+        &cluster,
+        "00000002",
+        &[("\"max_header_bytes\": 16384", "\"max_header_bytes\": 32768")],
+    );
+    wait_for_head_limit(&cluster, "2", 20_000, 200);
+    let response = call_with_head(&mut kept, "kept-2", 20_000);
+    assert!(
+        matches!(response.status, 0 | 200),
+        "the kept connection got {}",
+        response.status
+    );
+    assert_eq!(cluster.run_count("kept-2"), u64::from(response.status == 200));
+
+    let mut kept = connect(&cluster);
+    assert_eq!(call_with_head(&mut kept, "kept-3", 20_000).status, 200);
+    publish(&cluster, "00000003", &[]);
+    wait_for_head_limit(&cluster, "3", 20_000, 431);
+    assert_eq!(call_with_head(&mut kept, "kept-4", 100).status, 200);
+}
+
+/// Guards against cutting a request that is being served when the limits on callers change.
+#[test]
+fn change_of_limits_breaks_no_request() {
+    let cluster = Cluster::start_with(1, 3, &["--work-ms", "1500", "--slots", "64"]);
+    publish(&cluster, "00000002", &[("\"timeout\": \"2s\"", "\"timeout\": \"20s\"")]);
+    // Longer than hosts take to read a configuration.
+    std::thread::sleep(Duration::from_secs(2));
+    let limits = ("\"max_header_bytes\": 16384", "\"max_header_bytes\": 32768");
+    publish(
+        &cluster,
+        "00000003",
+        &[limits, ("\"timeout\": \"2s\"", "\"timeout\": \"20s\"")],
+    );
+    let start = Instant::now();
+    let mut number = 0;
+    // Requests are being served at each moment until the change has come into force.
+    std::thread::scope(|scope| {
+        while start.elapsed() < Duration::from_secs(3) {
+            number += 1;
+            let cluster = &cluster;
+            scope.spawn(move || {
+                let response = call_with_head(&mut connect(cluster), &format!("during-{number}"), 100);
+                assert_eq!(response.status, 200, "during-{number}: {:?}", response.headers);
+            });
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    wait_for_head_limit(&cluster, "3", 20_000, 200);
+}
