Don't call a credential unknown that a left-out tenant may hold

Cause: a tenant whose entry can't be decoded, such as `null` in the list, is left out, and a newer configuration that can't be read leaves the previous tenants in use. Requests with credentials of the missing tenants got 401, which ends their callers' retries.

Change: a credential that isn't found is `credential-unsure` (503 with Retry-After) while an entry is left out, or while the host can't prove that it knows the newest configuration. Without a credential, only the latter applies.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -229,8 +229,8 @@
             "compare `configuration in force` with the version that has the credential",
         ),
         "credential-unsure" => (
-            "the host couldn't tell whether its credential had been removed; it didn't run".to_owned(),
-            "look for `credentials aren't accepted` and `store lost` at the host",
+            "the host couldn't tell whether its credential was valid; it didn't run".to_owned(),
+            "look for `credentials aren't accepted`, `store lost` and what can't be read of the configuration at the host",
         ),
         "route-unusable" => (
             "its route is in the configuration, but the entry can't be used; it didn't run".to_owned(),
@@ -238,7 +238,7 @@
         ),
         "route-unsure" => (
             "no route that the host knew matches it, but the host may not have known all; it didn't run".to_owned(),
-            "look for `part of the configuration can't be used`, `configuration can't be read` and `store lost` at the host",
+            "look for `store lost` and what can't be read of the configuration at the host",
         ),
         "memory-full" => (
             "the memory that the host may hold for callers was used up; it didn't run".to_owned(),
--- a/src/gateway/tenancy.rs
+++ b/src/gateway/tenancy.rs
@@ -19,6 +19,7 @@
 use super::peers::Message;
 use super::request::draw_retry_after;
 use super::state::Gateway;
+use super::watch::proves_absence;
 use crate::catalog::{Catalog, Route};
 use crate::platform::{CREDENTIAL, TENANT};
 use crate::relay::Topic;
@@ -99,18 +100,23 @@
     let Some(directory) = catalog.tenants.as_ref().filter(|_| !route.is_public) else {
         return Ok(None);
     };
-    if !accepts_credentials(gateway) {
+    let refuse_unsure = || {
         let retry_after = draw_retry_after(gateway, UNSURE_RETRY_AFTER_MS);
-        return Err(Refusal::not_run(Reason::CredentialUnsure, Some(retry_after)));
+        Refusal::not_run(Reason::CredentialUnsure, Some(retry_after))
+    };
+    if !accepts_credentials(gateway) {
+        return Err(refuse_unsure());
     }
+    let may_be_missing = directory.is_partial() && headers.contains_key(CREDENTIAL);
     let credentials = headers.get_all(CREDENTIAL).iter().map(HeaderValue::as_bytes);
-    directory.authenticate(credentials).map(Some).map_err(|error| {
-        let reason = match error {
-            AuthError::Unknown => Reason::UnknownCredential,
-            AuthError::Malformed => Reason::BadCredential,
-        };
-        Refusal::not_run(reason, None)
-    })
+    directory
+        .authenticate(credentials)
+        .map(Some)
+        .map_err(|error| match error {
+            AuthError::Unknown if may_be_missing || !proves_absence(gateway) => refuse_unsure(),
+            AuthError::Unknown => Refusal::not_run(Reason::UnknownCredential, None),
+            AuthError::Malformed => Refusal::not_run(Reason::BadCredential, None),
+        })
 }
 
 /// Sets the headers by which upstreams learn of the tenant, whatever the caller sent.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -177,8 +177,12 @@
     let pools = pools.into_iter().map(|located| convert_pool(located.value));
     let pools = pools.map(|pool| (pool.name.clone(), pool)).collect();
     let tenants = wire.tenants.map(|tenants| {
-        let (tenants, _) = entries.decode("tenant", tenants);
-        build_directory(hash_key, tenants, &mut entries)
+        let (tenants, rejected) = entries.decode("tenant", tenants);
+        let mut directory = build_directory(hash_key, tenants, &mut entries);
+        if !rejected.is_empty() {
+            directory.record_omission();
+        }
+        directory
     });
     let catalog = Catalog {
         tenants,
@@ -327,6 +331,7 @@
             entries
                 .faults
                 .push(located.fault("the cap is not a number of 0 or more; the entry is left out"));
+            directory.record_omission();
             continue;
         }
         let tenant = Rc::new(Tenant {
--- a/src/tenants/directory.rs
+++ b/src/tenants/directory.rs
@@ -43,6 +43,8 @@
     hash_key: [u8; 16],
     by_credential: BTreeMap<u128, Rc<Tenant>>,
     by_name: BTreeMap<TenantName, Rc<Tenant>>,
+    /// Some tenants are missing, because their entries can't be used.
+    is_partial: bool,
 }
 
 impl TenantDirectory {
@@ -51,6 +53,7 @@
             hash_key,
             by_credential: BTreeMap::new(),
             by_name: BTreeMap::new(),
+            is_partial: false,
         }
     }
 
@@ -65,6 +68,16 @@
         self.by_name.insert(tenant.name.clone(), Rc::clone(tenant));
     }
 
+    /// Records that a tenant is missing, because its entry can't be used.
+    pub(crate) fn record_omission(&mut self) {
+        self.is_partial = true;
+    }
+
+    /// Reports whether a credential that isn't found may be one of a missing tenant.
+    pub(crate) fn is_partial(&self) -> bool {
+        self.is_partial
+    }
+
     /// Adds a credential of a tenant. If another tenant holds it, it stays there, and that tenant's name is returned.
     pub(crate) fn add(&mut self, credential: &str, tenant: &Rc<Tenant>) -> Option<TenantName> {
         let hash = self.hash(credential.as_bytes());
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -114,7 +114,7 @@
     TenantCapped = "tenant-capped", 429;
     /// Whether the tenant has used up its cap isn't known in time.
     CapUnknown = "cap-unknown", 503;
-    /// The host doesn't know whether the credential has been removed.
+    /// The host doesn't know whether the credential has been removed, or whether a tenant holds it.
     CredentialUnsure = "credential-unsure", 503;
     /// The host has no configuration or list of upstreams yet.
     NotReady = "not-ready", 503;
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::hostile::{append_record, entry, start_raw_server, start_with_raw_server};
-use super::{Cluster, Response, set_fault, wait_for};
+use super::{Cluster, HOST_HEADER, Response, exchange, set_fault, wait_for};
 
 const SIGNED: &str = "X-Ragworthub-Response-Signature: raw\r\n";
 const NOT_EXECUTED: &str = "X-Ragworthub-Not-Executed: 1\r\n";
@@ -217,3 +217,40 @@
         wait_for("404 again", || is_certain(gateway).then_some(()));
     }
 }
+
+/// Guards against a 401 for a credential whose tenant the gateway has left out, or that a newer configuration may have.
+#[test]
+fn credential_that_may_be_valid_is_not_called_unknown() {
+    let cluster = Cluster::start(1);
+    let call = |credential: &str| {
+        let text = format!(
+            "GET /flotas/7 HTTP/1.1\r\nHost: {HOST_HEADER}\r\nX-Ragworthub-Request-Id: b\r\n{credential}\
+             Connection: close\r\n\r\n"
+        );
+        exchange(cluster.gateways[0].address, &text)
+    };
+    let (valid, other) = (
+        "X-Ragworthub-Credential: key-1\r\n",
+        "X-Ragworthub-Credential: key-9\r\n",
+    );
+    let tenant = json!({"name": "open", "api_keys": ["key-1"], "priority": 1});
+    publish(&cluster, 2, |configuration| {
+        configuration["tenants"] = json!([tenant.clone()]);
+    });
+    wait_for("the tenants to be known", || (call("").status == 401).then_some(()));
+    assert_eq!(call(other).status, 401);
+    publish(&cluster, 3, |configuration| {
+        configuration["tenants"] = json!([tenant.clone(), null]);
+        configuration["routes"][0]["host"] = json!("other.example");
+    });
+    wait_for("the entry to be left out", || {
+        (get(&cluster, "/placas/1").status == 404).then_some(())
+    });
+    assert_refused(&call(other), "credential-unsure");
+    assert_eq!((call(valid).status, call("").status), (200, 401));
+    publish(&cluster, 4, |configuration| configuration["limits"] = Value::Null);
+    wait_for("the unreadable configuration to be known", || {
+        (get(&cluster, "/placas/1").status == 503).then_some(())
+    });
+    assert_refused(&call(other), "credential-unsure");
+}
