Answer 503 for a request without a key to a split of mixed pools

Cause: a route may split its requests between a pool that is sharded by key and one that isn't. A request without a key that the weights sent to the sharded pool got 400 `key-missing`, although the caller can't know which pool it falls to. Moving it to the other pool would change the shares.

Change: such a request gets `split-mixed` (503 with Retry-After); it still counts for its part of the split, and when it returns the weights may choose the other pool. The check of a configuration reports such routes. Where all parts need a key, or the key doesn't parse, it stays 400: a route that has been moved to a sharded pool requires keys by the configuration in force.

--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -80,6 +80,9 @@
                 texts.push(format!("unknown service {}", target.pool));
             }
         }
+        if self.mixes_keys(route) {
+            texts.push("it mixes services with and without keys, so requests without a key may get 503".to_owned());
+        }
         if route.timeout < route.objective {
             texts.push(format!(
                 "the timeout of {:?} is below the target latency of {:?}",
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -159,6 +159,15 @@
         }
     }
 
+    /// Reports whether a route splits its requests between pools with and without keys, so that a caller can't know whether
+    /// it has to send one.
+    pub(crate) fn mixes_keys(&self, route: &Route) -> bool {
+        let is_sharded = |target: &Target| self.pools.get(&target.pool).is_some_and(|pool| pool.is_sharded);
+        let mut targets = route.targets.iter().filter(|target| target.weight > 0);
+        let first = targets.next().map(is_sharded);
+        targets.any(|target| Some(is_sharded(target)) != first)
+    }
+
     /// Finds the route of the host with the longest prefix that the path starts with. An unusable route takes part: a
     /// shorter prefix may belong to another pool.
     pub(crate) fn match_route(&self, host: &str, path: &str) -> RouteMatch<'_> {
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -240,6 +240,11 @@
             "no route that the host knew matches it, but the host may not have known all; it didn't run".to_owned(),
             "look for `store lost` and what can't be read of the configuration at the host",
         ),
+        "split-mixed" => (
+            "it had no key, and its route splits requests between pools with and without keys; it didn't run"
+                .to_owned(),
+            "run `ragworthub check configuration`; send a key, or split the route between pools of one kind",
+        ),
         "memory-full" => (
             "the memory that the host may hold for callers was used up; it didn't run".to_owned(),
             "see `body not read to its end` for the limit and the caller, and `ragworthub_held_bytes`",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -231,11 +231,9 @@
     let tenant = identify(gateway, &catalog, &route, &head.headers)?;
     let pool = gateway.choose_target(&route).ok_or(refuse(Reason::NoUpstream))?;
     let is_sharded = catalog.pools.get(&pool).is_some_and(|pool| pool.is_sharded);
-    let key = if is_sharded {
-        Some(read_key(&head).ok_or(refuse(Reason::KeyMissing))?)
-    } else {
-        None
-    };
+    let key = is_sharded
+        .then(|| read_key(gateway, &catalog, &route, &head))
+        .transpose()?;
     if let Some(tenant) = &tenant {
         let result = take_token(gateway, tenant).await;
         gateway
@@ -346,8 +344,22 @@
     refusal
 }
 
-fn read_key(head: &Parts) -> Option<u16> {
-    head.headers.get(SHARD_KEY)?.to_str().ok()?.trim().parse().ok()
+/// Returns the key of a request to a sharded pool.
+///
+/// # Errors
+///
+/// Returns the refusal of a request without a valid key.
+fn read_key(gateway: &Gateway, catalog: &Catalog, route: &Route, head: &Parts) -> Result<u16, Refusal> {
+    let Some(value) = head.headers.get(SHARD_KEY) else {
+        return Err(if catalog.mixes_keys(route) {
+            let retry_after = draw_retry_after(gateway, UNSURE_RETRY_AFTER_MS);
+            Refusal::not_run(Reason::SplitMixed, Some(retry_after))
+        } else {
+            Refusal::not_run(Reason::KeyMissing, None)
+        });
+    };
+    let key = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    key.ok_or(Refusal::not_run(Reason::KeyMissing, None))
 }
 
 /// Draws the time of a `Retry-After` header from a range in milliseconds.
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -249,6 +249,11 @@
             "\"traffic_split\": [{\"service\": \"placas\", \"weight\": 0}]",
             "no target has a weight above 0",
         ),
+        (
+            "\"service\": \"placas\"",
+            "\"traffic_split\": [{\"service\": \"placas\", \"weight\": 1}, {\"service\": \"renovaciones\", \"weight\": 1}]",
+            "it mixes services with and without keys",
+        ),
         ("\"300ms\"", "\"3s\"", "below the target latency"),
         ("\"max_attempts\": 2", "\"max_attempts\": 20", "can't hold 20 attempts"),
         (
--- a/src/types/verdict.rs
+++ b/src/types/verdict.rs
@@ -90,6 +90,8 @@
     RouteUnsure = "route-unsure", 503;
     /// The pool is sharded by key and the request has no key.
     KeyMissing = "key-missing", 400;
+    /// The request has no key, and its route splits requests between pools with and without keys.
+    SplitMixed = "split-mixed", 503;
     /// A header of the request doesn't parse, or its framing is ambiguous.
     BadHeader = "bad-header", 400;
     /// The HTTP library can't parse the head of a request, and answered it.
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -254,3 +254,32 @@
     });
     assert_refused(&call(other), "credential-unsure");
 }
+
+/// Guards against a 400 for a request without a key because the operators' split sends it to a pool that needs one, and
+/// against moving it to the other pool, which would change the shares.
+#[test]
+fn split_between_pools_with_and_without_keys_does_not_blame_its_callers() {
+    let cluster = Cluster::start(1);
+    publish(&cluster, 2, |configuration| {
+        let split = json!([{"service": "placas", "weight": 1}, {"service": "renovaciones", "weight": 1}]);
+        configuration["routes"][2]["service"] = Value::Null;
+        configuration["routes"][2]["traffic_split"] = split;
+    });
+    wait_for("the split to be in force", || {
+        (get(&cluster, "/flotas/1").status != 200).then_some(())
+    });
+    let mut served = 0;
+    for _ in 0..20 {
+        let response = get(&cluster, "/flotas/1");
+        served += usize::from(response.status == 200);
+        if response.status != 200 {
+            assert_refused(&response, "split-mixed");
+        }
+    }
+    assert_eq!(served, 10);
+    for number in 0..4 {
+        let response = cluster.call(0, "GET", "/flotas/1", &format!("k{number}"), Some(7));
+        assert_eq!(response.status, 200, "with a key");
+    }
+    assert_eq!(get(&cluster, "/placas/1").status, 400, "all of its requests need a key");
+}
