Match host names that end in a dot or are written with a port

Cause: a request whose host ends in the dot of a complete name, alone, with a port or in an absolute target, matched no route and got 404. A configured host with a port matched nothing either, and its callers got 404 for the operators' mistake.

Change: host_name removes port and dot from the host of a request; configured hosts lose the dot. A configured host that is still not a plain name makes its route unusable (`route-unusable`, 503), as a prefix without its slashes does.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -171,7 +171,7 @@
     /// Finds the route of the host with the longest prefix that the path starts with. An unusable route takes part: a
     /// shorter prefix may belong to another pool.
     pub(crate) fn match_route(&self, host: &str, path: &str) -> RouteMatch<'_> {
-        let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+        let host = host_name(host);
         let found = self.routes.get(&host).and_then(|routes| {
             let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
             ends.find_map(|end| routes.get(&path[..end]))
@@ -199,6 +199,14 @@
     }
 }
 
+/// Returns the lower-case name of a host without its port and the dot that marks a name as complete.
+pub(crate) fn host_name(host: &str) -> String {
+    let is_port = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+    let name = host.rsplit_once(':').filter(|(_, port)| is_port(port));
+    let name = name.map_or(host, |(name, _)| name);
+    name.strip_suffix('.').unwrap_or(name).to_ascii_lowercase()
+}
+
 /// Reports whether each percent sign of a path starts an escape of two hexadecimal digits (RFC 3986, section 2.1).
 pub(crate) fn has_valid_escapes(path: &str) -> bool {
     let is_escape = |rest: &[u8]| rest.len() >= 2 && rest[..2].iter().all(u8::is_ascii_hexdigit);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -60,6 +60,8 @@
     let prefix = |host, path| catalog.find_route(host, path).map(|r| r.prefix.as_str());
     assert_eq!(prefix("a.example", "/x/y/z"), Some("/x/y/"));
     assert_eq!(prefix("A.example:8641", "/x/yy"), Some("/x/"));
+    assert_eq!(prefix("a.example.:", "/x/yy"), Some("/x/"));
+    assert_eq!(prefix("[::1]:80", "/x/yy"), None);
     assert_eq!(prefix("a.example", "/xy/"), None);
     assert_eq!(prefix("b.example", "/any"), Some("/"));
     assert_eq!(prefix("c.example", "/x/"), None);
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -13,7 +13,9 @@
 use super::units::{
     read_optional_time, read_optional_whole, read_or_default, read_time, read_version, read_weight, read_whole,
 };
-use crate::catalog::{CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target, UnusableRoute};
+use crate::catalog::{
+    CallerLimits, Catalog, CatalogVersion, Idempotency, Pool, Route, Target, UnusableRoute, host_name,
+};
 use crate::tenants::{Tenant, TenantDirectory};
 use crate::types::{Offset, PoolName, RouteName, TenantName};
 
@@ -274,7 +276,7 @@
     let entry = serde_json::from_str::<Value>(raw.get()).unwrap_or_default();
     let text = |field: &str| entry[field].as_str();
     UnusableRoute {
-        host: text("host").map(str::to_ascii_lowercase),
+        host: text("host").map(host_name),
         prefix: text("path_prefix").and_then(readable_prefix),
     }
 }
@@ -284,7 +286,8 @@
     prefix.starts_with('/').then(|| prefix.to_owned())
 }
 
-/// Returns the routes by host and prefix. A route whose prefix isn't bounded by slashes is unusable as well.
+/// Returns the routes by host and prefix. A route whose prefix isn't bounded by slashes, or whose host isn't a plain name, is
+/// unusable as well.
 fn build_routes(
     wire: Vec<Located<WireRoute>>,
     entries: &mut Entries<'_>,
@@ -299,9 +302,10 @@
         }
         let fault = located.fault("");
         let route = convert_route(located.value);
-        if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+        let host = host_name(&route.host);
+        if !(route.prefix.starts_with('/') && route.prefix.ends_with('/') && route.host == host) {
             unusable.push(UnusableRoute {
-                host: Some(route.host.clone()),
+                host: Some(host),
                 prefix: readable_prefix(&route.prefix),
             });
         }
@@ -358,7 +362,7 @@
     };
     Route {
         name: wire.name,
-        host: wire.host.to_ascii_lowercase(),
+        host: wire.host.strip_suffix('.').unwrap_or(&wire.host).to_ascii_lowercase(),
         prefix: wire.path_prefix,
         idempotency: match wire.kind {
             WireKind::Safe => Idempotency::Idempotent,
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -109,6 +109,10 @@
         let weights: Vec<u32> = route.targets.iter().map(|target| target.weight).collect();
         assert_eq!(weights, shares, "{split}");
     }
+    let Decoded { catalog, .. } = with("licencias.example", "Licencias.example.");
+    assert!(catalog.find_route("licencias.example", path).is_some());
+    let Decoded { catalog, .. } = with("licencias.example", "licencias.example:80");
+    assert_eq!(catalog.match_route("licencias.example", path), RouteMatch::Unusable);
     let Decoded { catalog, faults, .. } = with("\"priority\": 1", "\"priority\": -1");
     assert_eq!(faults.len(), 2);
     assert_eq!(catalog.match_route("licencias.example", path), RouteMatch::Unusable);
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -283,3 +283,70 @@
     }
     assert_eq!(get(&cluster, "/placas/1").status, 400, "all of its requests need a key");
 }
+
+/// Guards against a 400 or 404 for a request that is valid by RFC 9110 and RFC 9112, but written in an unusual form.
+#[test]
+fn unusual_forms_of_valid_requests_are_served() {
+    let cluster = Cluster::start(1);
+    let host = format!("Host: {HOST_HEADER}\r\n");
+    let lines = [
+        (
+            format!("GET /flotas/7 HTTP/1.1\r\nHost: {HOST_HEADER}.\r\n"),
+            "host with a trailing dot",
+        ),
+        (
+            format!("GET /flotas/7 HTTP/1.1\r\nHost: {HOST_HEADER}.:8080\r\n"),
+            "trailing dot and port",
+        ),
+        (
+            "GET /flotas/7 HTTP/1.1\r\nhost:LICENCIAS.Example:80\r\n".to_owned(),
+            "capitals and port",
+        ),
+        (
+            format!("GET http://{HOST_HEADER}/flotas/7 HTTP/1.1\r\nHost: other\r\n"),
+            "absolute target",
+        ),
+        (
+            format!("GET http://{HOST_HEADER}.:80/flotas/7?q HTTP/1.1\r\nHost: other\r\n"),
+            "absolute target with a port",
+        ),
+        (format!("GET /flotas/7 HTTP/1.0\r\n{host}"), "HTTP/1.0"),
+        (
+            format!("\r\nGET /flotas/7 HTTP/1.1\r\n{host}"),
+            "empty line before the request",
+        ),
+        (format!("OPTIONS /flotas/7 HTTP/1.1\r\n{host}"), "OPTIONS"),
+        (format!("PROPFIND /flotas/7 HTTP/1.1\r\n{host}"), "another method"),
+        (
+            format!("GET /flotas/a%2Fb%7E!$&'()*+,;=:@-._~ HTTP/1.1\r\n{host}"),
+            "all characters of a path",
+        ),
+        (format!("GET /flotas/7?a=%zz&b[]=c/?'d HTTP/1.1\r\n{host}"), "any query"),
+        (
+            format!("GET /flotas/7 HTTP/1.1\r\n{host}X-Text: caf\u{e9} a  b\r\nX-Empty:\r\nX-Text: again\r\n"),
+            "odd values",
+        ),
+        (
+            format!("GET /flotas/7 HTTP/1.1\r\n{host}Transfer-Encoding: Chunked\r\n"),
+            "capital coding",
+        ),
+        (
+            format!("GET /placas/7 HTTP/1.1\r\n{host}X-Ragworthub-Shard-Key: 00123\r\n"),
+            "key with zeros",
+        ),
+    ];
+    let mut refused = Vec::new();
+    for (start, form) in lines {
+        let body = if form == "capital coding" { "0\r\n\r\n" } else { "" };
+        let text = format!("{start}X-Ragworthub-Request-Id: id {form}\r\nConnection: Close\r\n\r\n{body}");
+        let response = exchange(cluster.gateways[0].address, &text);
+        if response.status != 200 {
+            refused.push(format!(
+                "{form}: {} {:?}",
+                response.status,
+                response.headers.get("ragworthub-reason")
+            ));
+        }
+    }
+    assert!(refused.is_empty(), "{refused:#?}");
+}
