Accept deadlines with a fraction, very long ones and passed ones

Cause: the header X-Ragworthub-Deadline-Ms had to be a whole number of at most 64 bits. A caller that computes the time left and sends 1500.0, a number beyond 64 bits or a negative one got 400 `bad-header`, which ends its retries.

Change: any finite number is accepted. A negative one is a deadline that has passed, and is refused like 0: 503, not run. What isn't a number still gets 400.

Measured: on the commit before, unusual_deadlines_are_understood failed: 1500.0 got 400 instead of 200.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -37,6 +37,8 @@
 /// Time after the start of the process in which other hosts tell it of requests that crash upstreams. Until then it sends
 /// no request again that may have run, as it can't tell whether the request caused the failure.
 const SUSPECTS_DELAY: Duration = Duration::from_secs(3);
+/// Longest time for which a caller waits, as far as this host is concerned; no route has a longer timeout.
+const DEADLINE_MAX_MS: f64 = 1e12;
 /// Range that `Retry-After` is drawn from while the host has no configuration or list of upstreams.
 const NOT_READY_RETRY_AFTER_MS: (u64, u64) = (100, 400);
 
@@ -220,13 +222,7 @@
         return Err(refuse(Reason::BadPath));
     }
     let route = find_route(gateway, &id, &catalog, &head)?;
-    let caller_timeout = match head.headers.get(DEADLINE) {
-        None => None,
-        Some(value) => {
-            let ms = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
-            Some(Duration::from_millis(ms.ok_or(refuse(Reason::BadHeader))?))
-        }
-    };
+    let caller_timeout = read_deadline(&head)?;
     let deadline = arrived + caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let tenant = identify(gateway, &catalog, &route, &head.headers)?;
     let pool = gateway.choose_target(&route).ok_or(refuse(Reason::NoUpstream))?;
@@ -344,6 +340,21 @@
     refusal
 }
 
+/// Returns the time for which the caller waits, if the request states it; zero if that time has passed.
+///
+/// # Errors
+///
+/// Returns the refusal of a request whose deadline isn't a number.
+fn read_deadline(head: &Parts) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = head.headers.get(DEADLINE) else {
+        return Ok(None);
+    };
+    let ms = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let ms = ms.filter(|ms| ms.is_finite());
+    let ms = ms.ok_or(Refusal::not_run(Reason::BadHeader, None))?;
+    Ok(Some(Duration::from_secs_f64(ms.clamp(0.0, DEADLINE_MAX_MS) / 1e3)))
+}
+
 /// Returns the key of a request to a sharded pool.
 ///
 /// # Errors
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -350,3 +350,23 @@
     }
     assert!(refused.is_empty(), "{refused:#?}");
 }
+
+/// Guards against a 400 for a deadline with a fraction, one that no clock reaches, or one that has passed already.
+#[test]
+fn unusual_deadlines_are_understood() {
+    let cluster = Cluster::start(1);
+    let call = |deadline: &str| {
+        let text = format!(
+            "GET /flotas/7 HTTP/1.1\r\nHost: {HOST_HEADER}\r\nX-Ragworthub-Request-Id: b\r\n\
+             X-Ragworthub-Deadline-Ms: {deadline}\r\nConnection: close\r\n\r\n"
+        );
+        exchange(cluster.gateways[0].address, &text).status
+    };
+    for deadline in ["\t1500 ", "1500.0", "1500.75", "99999999999999999999"] {
+        assert_eq!(call(deadline), 200, "{deadline}");
+    }
+    assert_eq!((call("0"), call("-20")), (503, 503));
+    for deadline in ["", "soon", "NaN", "1500ms"] {
+        assert_eq!(call(deadline), 400, "{deadline}");
+    }
+}
