Reject messages of other hosts that decompress to more than 1 MiB

Cause: decompression stopped at 1 MiB without an error, so a datagram of 16 KiB that holds a message and 8 MiB after it was accepted for the message. The log line about a datagram that can't be decoded didn't name its sender.

Change: a message that is larger after decompression is rejected, and the line names the sender and the limit.

Measured: datagram_that_decompresses_to_more_than_the_limit_is_rejected failed before with "assertion failed: decode(&datagram).is_err()" and passes now, with all 146 unit tests (debug build, x86-64).

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -58,8 +58,8 @@
 const ENCODING_DEFLATE: u8 = 1;
 /// Largest message that is sent without compression; it fits into one packet as it is.
 const PLAIN_MAX_BYTES: usize = 1_000;
-/// Most bytes that are decompressed of one message; a message with more bytes is damaged.
-const DECOMPRESSED_MAX_BYTES: u64 = 1 << 20;
+/// Largest message after decompression. A datagram of the largest size could hold one of 16 MB.
+const DECOMPRESSED_MAX_BYTES: usize = 1 << 20;
 /// Delay before this host's entry is written to the store again after a write failed.
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -314,7 +314,7 @@
             Ok(Message::Freshness { number, age_ms, next }) => record_freshness(&gateway, number, age_ms, next),
             Ok(Message::EpochAck { incarnation, epoch }) => record_epoch_ack(&gateway, &incarnation, epoch),
             Err(error) => warn!(gateway.log, "datagram from another host can't be decoded; ignored";
-                "bytes" => length, "error" => error),
+                "sender" => %sender, "bytes" => length, "error" => error),
         }
     }
 }
@@ -479,8 +479,13 @@
     let bytes = match *encoding {
         ENCODING_PLAIN => bytes,
         ENCODING_DEFLATE => {
-            let mut decompressed = DeflateDecoder::new(bytes).take(DECOMPRESSED_MAX_BYTES);
+            let mut decompressed = DeflateDecoder::new(bytes).take(DECOMPRESSED_MAX_BYTES as u64 + 1);
             decompressed.read_to_end(&mut plain).map_err(|e| e.to_string())?;
+            if plain.len() > DECOMPRESSED_MAX_BYTES {
+                return Err(format!(
+                    "it has more than {DECOMPRESSED_MAX_BYTES} bytes after decompression"
+                ));
+            }
             &plain
         }
         other => return Err(format!("unknown encoding byte {other}")),
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -1,5 +1,10 @@
 //! Encoding of datagrams between hosts.
 
+use std::io::Write;
+
+use flate2::Compression;
+use flate2::write::DeflateEncoder;
+
 use crate::fleet::{PoolSpeeds, Speeds};
 use crate::gateway::peers::{Message, decode, encode, shrink};
 use crate::keys::KeyTable;
@@ -9,6 +14,8 @@
 
 /// Largest datagram that small links can carry to a hundred hosts at once.
 const MESSAGE_MAX_BYTES: usize = 8 << 10;
+/// Largest datagram that is received.
+const DATAGRAM_MAX_BYTES: usize = 16 << 10;
 
 fn announcements(count: u64) -> Message {
     let record = |at: u64| {
@@ -45,6 +52,18 @@
     }
 }
 
+/// Guards against a small datagram that is decompressed to a message of any size.
+#[test]
+fn datagram_that_decompresses_to_more_than_the_limit_is_rejected() {
+    let mut bytes = rmp_serde::to_vec(&announcements(1)).expect("a message");
+    bytes.resize(8 << 20, 0);
+    let mut compressed = DeflateEncoder::new(vec![1], Compression::best());
+    compressed.write_all(&bytes).expect("a write to a vector");
+    let datagram = compressed.finish().expect("a write to a vector");
+    assert!(datagram.len() < DATAGRAM_MAX_BYTES, "{} bytes", datagram.len());
+    assert!(decode(&datagram).is_err());
+}
+
 /// Guards against a damaged datagram that is applied in part or ends the process.
 #[test]
 fn damaged_datagrams_are_rejected() {
