Limit the heads of readiness checks and scrapes

Cause: the listeners for readiness checks and metrics had the HTTP library's default limit on a head, about 400 KB, for each of 64 connections.

Change: the limit is 16 KiB.

Measured: large_heads_of_status_checks_are_rejected failed before, as a head of 200 KiB got 200, and passes now.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -32,6 +32,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of open connections for readiness checks, and of those for metrics.
 const STATUS_CONNECTIONS_MAX: usize = 32;
+/// Limit on the head of a readiness check or a scrape.
+const STATUS_HEAD_MAX_BYTES: usize = 16 << 10;
 /// Number of turns of the scheduler for which a new connection waits for another one to close.
 const CLOSE_TURNS_MAX: usize = 16;
 /// Delay before the next accept after one failed, for instance because no file descriptor was left.
@@ -254,6 +256,7 @@
             let _ = Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(STATUS_HEAD_MAX_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             open.set(open.get() - 1);
--- a/standins/tests/gateway/endless.rs
+++ b/standins/tests/gateway/endless.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::hostile::start_with_raw_server;
-use super::{Cluster, wait_for};
+use super::{Cluster, exchange, get, wait_for};
 
 /// Limit on what an upstream may send before the end of the head of its response.
 const HEAD_MAX_BYTES: usize = 64 << 10;
@@ -61,6 +61,18 @@
     });
 }
 
+/// Guards against a listener for readiness checks or metrics that keeps heads of any size.
+#[test]
+fn large_heads_of_status_checks_are_rejected() {
+    let cluster = Cluster::start(1);
+    let filler = "r".repeat(200 << 10);
+    let text = format!("GET /ready HTTP/1.1\r\nHost: s\r\nFiller: {filler}\r\nConnection: close\r\n\r\n");
+    for _ in 0..4 {
+        assert_ne!(exchange(cluster.ready[0], &text).status, 200);
+    }
+    assert_eq!(get(cluster.ready[0], "/ready", "1").status, 200);
+}
+
 /// Guards against interim responses without end, each of which is small, that occupy the process until the deadline
 /// of the request.
 #[test]
