Relay every later end of a cold period

Cause: an end of an upstream's cold period that differed by less than a second from the known one counted as unchanged, earlier or later, and readers relay only changes. Ruled out: the division of the limit (hosts that knew it as cold sent six requests in a second at most), hosts that joined, left or restarted, and requests that were waiting for a connection.

Change: a later end always counts as a change and is relayed. An end that is earlier by less than a second changes nothing, and the known end stays, so that a reader compares with what it relayed and not with what only it knows.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -36,8 +36,9 @@
 /// Longest time between the writing and the reading of an announcement, on a host that receives no
 /// updates from readers.
 const ANNOUNCEMENT_LAG: Duration = Duration::from_millis(1_500);
-/// Smallest difference between two ends of a cold period that counts as a change; greater than the
-/// time between the writing and the reading of an announcement.
+/// Smallest time by which the end of a cold period has to come earlier to count as a change; greater than the
+/// usual time between the writing and the reading of an announcement. A later end always counts: hosts that
+/// didn't learn of it would send a cold upstream the load of a warm one.
 const COLD_END_TOLERANCE: Duration = Duration::from_secs(1);
 /// Time for which a draining owner of keys still receives requests while its keys are reassigned;
 /// well below the shortest drain bound.
@@ -131,17 +132,14 @@
                 if !is_same_phase {
                     upstream.phase_since = now;
                 }
-                let old_end = upstream.cold_until;
+                let old_end = upstream.cold_until.max(now);
                 // Within the lag, the announcement may have been written before the suspicion.
                 let is_fresh = upstream.suspected_at.is_none_or(|at| now >= at + ANNOUNCEMENT_LAG);
-                upstream.cold_until = if is_fresh {
-                    cold_until
-                } else {
-                    cold_until.max(upstream.cold_until)
-                };
-                let is_same_cold_end = upstream.cold_until.max(now).duration_since(old_end.max(now))
-                    < COLD_END_TOLERANCE
-                    && old_end.max(now).duration_since(upstream.cold_until.max(now)) < COLD_END_TOLERANCE;
+                let new_end = if is_fresh { cold_until } else { cold_until.max(old_end) };
+                let is_same_cold_end = new_end <= old_end && old_end.duration_since(new_end) < COLD_END_TOLERANCE;
+                if !is_same_cold_end {
+                    upstream.cold_until = new_end;
+                }
                 upstream.announcement = announcement;
                 if is_unchanged && is_same_cold_end {
                     Change::None
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -117,6 +117,73 @@
     assert!(!is_cold(&fleet, now + ms(2_100)));
 }
 
+/// An announcement of an upstream that stays cold for a time.
+fn cold_announcement(sequence: u64, cold_left: Duration) -> Announcement {
+    Announcement {
+        cold_left,
+        ..announcement("a", "z1", 1, sequence)
+    }
+}
+
+/// Guards against hosts that take an upstream for warm although it announced a later end of its cold period. A reader
+/// didn't relay ends that were less than a second later: 18 requests reached an upstream that tolerated 15 (incident
+/// inc-f148 of riqab-gateway-grown; times are those of the play).
+#[test]
+fn later_end_of_cold_period_is_a_change() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.announce(now, cold_announcement(1, ms(2_997)));
+    assert_eq!(
+        fleet.announce(now + ms(1_942), cold_announcement(4, ms(2_054))),
+        Change::Updated
+    );
+    let is_cold = |fleet: &Fleet, at| fleet.get(&name("a")).expect("known upstream").is_cold(at);
+    assert!(is_cold(&fleet, now + ms(3_900)));
+    // A record that is read sooner after its writing shows an earlier end, which other hosts don't need.
+    assert_eq!(
+        fleet.announce(now + ms(2_500), cold_announcement(5, ms(1_184))),
+        Change::None
+    );
+    assert!(is_cold(&fleet, now + ms(3_900)));
+    assert_eq!(
+        fleet.announce(now + ms(2_600), cold_announcement(6, ms(0))),
+        Change::Updated
+    );
+    assert!(!is_cold(&fleet, now + ms(2_601)));
+}
+
+proptest! {
+    /// Guards against hosts without relays of an upstream's later announcements that take it for warm while it is cold:
+    /// whenever it turns cold again and whatever the time between writing and reading, a host is as cautious as the
+    /// newest announcement that a reader has read.
+    #[test]
+    fn known_cold_period_ends_no_earlier_than_the_real_one(
+        turns in proptest::collection::vec(0u64..6_000, 1..4),
+        phase in 0u64..650,
+        relay_delay in 0u64..20,
+    ) {
+        const COLD_MS: u64 = 3_000;
+        let start = Instant::now();
+        let (mut reader, mut receiver) = (Fleet::default(), Fleet::default());
+        let end_at = |at: u64| turns.iter().filter(|&&turn| turn <= at).max().map_or(COLD_MS, |turn| turn + COLD_MS);
+        for read_at in (0..20).map(|read| 650 * read + phase) {
+            // Upstreams announce themselves every 0.87 s.
+            let first_unread = (read_at + 1).saturating_sub(650);
+            for written in (0..=read_at).step_by(870).filter(|&written| written >= first_unread) {
+                let next = cold_announcement(written / 870, ms(end_at(written).saturating_sub(written)));
+                if reader.announce(start + ms(read_at), next.clone()) != Change::None {
+                    receiver.announce(start + ms(read_at + relay_delay), next);
+                }
+                let real_end = start + ms(end_at(written));
+                for fleet in [&reader, &receiver] {
+                    let known_end = fleet.get(&name("a")).expect("known upstream").cold_until;
+                    prop_assert!(known_end >= real_end || real_end <= start + ms(read_at), "turns {turns:?}, read at {read_at}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against an upstream that stays in use after another process has taken over its address,
 /// which shows that the upstream's process has ended.
 #[test]
