Announce the end of the connection when a request is refused before its body

Cause: a request can be refused before its body is read (no route, tenant capped, host without a configuration, and others). The HTTP library then closes the connection, but the response didn't say so, and the unread bytes reset the connection. A caller that was still sending its body could lose a 429 or 503, which permits a retry, to a reset, which doesn't.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -272,8 +272,8 @@
         }
     }
 
-    /// Reports whether the request is refused although its body hasn't been read to the end.
-    pub(crate) fn leaves_body_unread(self) -> bool {
+    /// Reports whether the request is refused because of its body.
+    pub(crate) fn is_about_body(self) -> bool {
         matches!(
             self.reason,
             Reason::BodyTooLarge | Reason::BodyIncomplete | Reason::BodyLate | Reason::MemoryFull
@@ -289,9 +289,6 @@
         }
         headers.insert(VERDICT, HeaderValue::from_static(self.verdict.as_str()));
         headers.insert(REASON, HeaderValue::from_static(self.reason.as_str()));
-        if self.leaves_body_unread() {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        }
         if let Some(time) = self.retry_after {
             let seconds = format!("{:.3}", time.as_secs_f64());
             let value = HeaderValue::from_str(&seconds).expect("digits and a point form a valid header value");
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -120,6 +120,11 @@
         self.0.progress.set_state(Instant::now(), CallerState::Serving);
     }
 
+    /// Reports whether the body of the request hasn't been read to its end.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.0.progress.state() == CallerState::Body
+    }
+
     /// Records that the request has been refused without reading its body to the end.
     pub(crate) fn leave_body_unread(&self) {
         self.0.has_unread_body.set(true);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use http_body::Body;
@@ -146,17 +146,22 @@
             record_result(&gateway, &ctx, &result);
             result.unwrap_or_else(|refusal| refusal.into_response(id.as_ref()))
         }
-        Err(refusal) if refusal.leaves_body_unread() => {
-            gateway.metrics.count_refusal(refusal.reason);
-            caller.leave_body_unread();
-            refusal.into_response(id.as_ref())
-        }
         Err(refusal) => {
-            let text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             gateway.metrics.count_refusal(refusal.reason);
-            warn!(gateway.log, "request refused"; "request" => text, "reason" => refusal.reason.as_str(),
-                "verdict" => refusal.verdict.as_str(), "status" => refusal.status().as_u16());
-            refusal.into_response(id.as_ref())
+            // A body that wasn't read to its end has a line already.
+            if !refusal.is_about_body() {
+                let text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+                warn!(gateway.log, "request refused"; "request" => text, "reason" => refusal.reason.as_str(),
+                    "verdict" => refusal.verdict.as_str(), "status" => refusal.status().as_u16());
+            }
+            let mut response = refusal.into_response(id.as_ref());
+            if caller.is_receiving() {
+                caller.leave_body_unread();
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
         }
     };
     caller.clear_head();
--- a/src/memory/callers.rs
+++ b/src/memory/callers.rs
@@ -49,6 +49,10 @@
         }
     }
 
+    pub(crate) fn state(&self) -> CallerState {
+        self.state.get()
+    }
+
     pub(crate) fn set_state(&self, now: Instant, state: CallerState) {
         self.state.set(state);
         self.since.set(now);
--- a/standins/tests/gateway/rejections.rs
+++ b/standins/tests/gateway/rejections.rs
@@ -318,3 +318,19 @@
     });
     wait_for_head_limit(&cluster, "3", 20_000, 200);
 }
+
+/// Guards against a response that lets the caller keep a connection which the gateway closes, and against a reset while
+/// the caller sends, because a request was refused before its body was read.
+#[test]
+fn refusal_before_the_body_announces_the_end_of_the_connection() {
+    let cluster = Cluster::start(1);
+    let mut stream = connect(&cluster);
+    let text = head("unread", "Content-Length: 10\r\n\r\n").replace("/renovaciones/", "/none/");
+    stream.write_all(text.as_bytes()).expect("a head");
+    let response = read_response(&mut stream);
+    assert_eq!(response.status, 404);
+    assert_eq!(response.headers.get("connection").map(String::as_str), Some("close"));
+    stream.write_all(b"0123456789").expect("a body");
+    // The connection ends without a reset.
+    assert_eq!(stream.read(&mut [0]).expect("the end of the connection"), 0);
+}
