Tell callers of a route without a pool when to return

Cause: a route with neither `service` nor parts in `traffic_split` was matched, and its requests got 503 `no-upstream` without Retry-After and without a log line that names the route, as if upstreams were missing.

Change: such a route is unusable, like one whose entry can't be decoded: `route-unusable`, 503 with Retry-After.

Measured: on the commit before, unusable_route_does_not_blame_its_callers with the new route `/idle/` failed with (503, no-upstream) instead of (503, route-unusable).

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -143,7 +143,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RouteMatch<'a> {
     Found(&'a Route),
-    /// The route with the longest matching prefix can't be used.
+    /// The route with the longest matching prefix can't be used, or names no pool.
     Unusable,
     /// No known route matches, but one whose host or prefix can't be read might.
     Unsure,
@@ -192,6 +192,7 @@
             is_unsure |= prefix.is_none();
         }
         match found {
+            Some(route) if route.targets.is_empty() => RouteMatch::Unusable,
             Some(route) => RouteMatch::Found(route),
             None if is_unsure => RouteMatch::Unsure,
             None => RouteMatch::Missing,
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -142,6 +142,7 @@
         add("/flotas/broken/", json!({"timeout": 7}));
         add("/short", json!({}));
         add("/new/", json!({}));
+        add("/idle/", json!({"service": null}));
         let split = json!([{"service": "renovaciones", "weight": 0.5}, {"service": "renovaciones", "weight": 1.5}]);
         add("/split/", json!({"service": null, "traffic_split": split}));
         add(
@@ -155,6 +156,7 @@
     });
     assert_refused(&get(&cluster, "/flotas/broken/1"), "route-unusable");
     assert_refused(&get(&cluster, "/short/1"), "route-unusable");
+    assert_refused(&get(&cluster, "/idle/1"), "route-unusable");
     for path in ["/flotas/1", "/split/1", "/null/1", "/float/1"] {
         assert_eq!(get(&cluster, path).status, 200, "{path}");
     }
