Test memory against servers and a store that send without an end

Cause: the memory tests had crowds of callers only.

Change: three tests with the bounds of the others: 120 callers of a server whose head has no end (header lines, interim responses), 120 callers that don't read bodies without an end (unframed, chunks of one byte), and a store that answers every call with chunks of one byte without an end. The raw server moves to the shared module.

--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/blame.rs
@@ -5,7 +5,8 @@
 
 use serde_json::{Value, json};
 
-use super::hostile::{append_record, entry, start_raw_server, start_with_raw_server};
+use super::hostile::{append_record, entry, start_with_raw_server};
+use super::support::start_raw_server;
 use super::{Cluster, HOST_HEADER, Response, exchange, set_fault, wait_for};
 
 const SIGNED: &str = "X-Ragworthub-Response-Signature: raw\r\n";
--- a/standins/tests/gateway/hostile.rs
+++ b/standins/tests/gateway/hostile.rs
@@ -1,7 +1,7 @@
 //! Servers and other writers that don't follow the protocol.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use standins::server::{append_keyed_record, unix_ms};
 
+use super::support::start_raw_server;
 use super::{Cluster, HOST_HEADER, wait_for};
 
 /// Timeout of the routes, plus the time that a response may take longer.
@@ -23,40 +24,6 @@
     is_closed: AtomicBool,
 }
 
-/// Serves each connection by a function, which gets the stream and the ids of the requests.
-pub(super) fn start_raw_server(
-    serve: impl Fn(&mut TcpStream, &mut dyn Iterator<Item = String>) + Send + Sync + 'static,
-) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let serve = Arc::new(serve);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = Arc::clone(&serve);
-            std::thread::spawn(move || {
-                let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
-                let mut ids = std::iter::from_fn(move || read_request(&mut lines));
-                serve(&mut { stream }, &mut ids);
-            });
-        }
-    });
-    address
-}
-
-/// Reads a request without a body and returns its id.
-fn read_request(lines: &mut impl Iterator<Item = std::io::Result<String>>) -> Option<String> {
-    let mut id = String::new();
-    loop {
-        let line = lines.next()?.ok()?.to_ascii_lowercase();
-        if line.is_empty() {
-            return Some(id);
-        }
-        if let Some(value) = line.strip_prefix("x-ragworthub-request-id: ") {
-            value.clone_into(&mut id);
-        }
-    }
-}
-
 pub(super) fn append_record(cluster: &Cluster, key: &str, value: &[u8]) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let append = append_keyed_record(cluster.store.address, "keyed.servers", key, value);
--- a/standins/tests/gateway/support/mod.rs
+++ b/standins/tests/gateway/support/mod.rs
@@ -1,9 +1,10 @@
 //! Starts the real programs on loopback addresses for tests.
 
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -136,3 +137,37 @@
     };
     (process, address("ready"))
 }
+
+/// Serves each connection by a function, which gets the stream and the ids of the requests.
+pub fn start_raw_server(
+    serve: impl Fn(&mut TcpStream, &mut dyn Iterator<Item = String>) + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = Arc::clone(&serve);
+            std::thread::spawn(move || {
+                let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
+                let mut ids = std::iter::from_fn(move || read_request(&mut lines));
+                serve(&mut { stream }, &mut ids);
+            });
+        }
+    });
+    address
+}
+
+/// Reads a request without a body and returns its id.
+fn read_request(lines: &mut impl Iterator<Item = std::io::Result<String>>) -> Option<String> {
+    let mut id = String::new();
+    loop {
+        let line = lines.next()?.ok()?.to_ascii_lowercase();
+        if line.is_empty() {
+            return Some(id);
+        }
+        if let Some(value) = line.strip_prefix("x-ragworthub-request-id: ") {
+            value.clone_into(&mut id);
+        }
+    }
+}
--- a/standins/tests/memory/main.rs
+++ b/standins/tests/memory/main.rs
@@ -10,10 +10,12 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use support::{Process, start_standin, wait_for};
+use standins::server::{append_keyed_record, unix_ms};
+use support::{Process, start_raw_server, start_standin, wait_for};
 use tempfile::TempDir;
 
 const HOST: &str = "licencias.example";
@@ -45,6 +47,7 @@
     memory_mb: usize,
     /// Bound on open descriptors, which is also what the machine allows.
     descriptors: usize,
+    store: SocketAddr,
     /// Kept until the end of the test.
     _others: Vec<Process>,
     _directory: TempDir,
@@ -61,7 +64,8 @@
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let directory = TempDir::new().expect("a temporary directory");
         let store = start_standin("store", &["--listen", "127.0.0.1:0"]);
-        let address = store.address.to_string();
+        let store_address = store.address;
+        let address = store_address.to_string();
         let mut others: Vec<Process> = (0..3)
             .map(|number| {
                 let name = format!("renovaciones-{number}");
@@ -71,19 +75,12 @@
             .collect();
         others.push(store);
         publish(&address, &directory);
-        let any = "127.0.0.1:0";
-        let settings = format!(
-            "host: front-0\nzone: zone-a\nlisten:\n  callers: {any}\n  ready: {any}\n  peers: {any}\n  \
-             metrics: {any}\nstore: {address}\nbounds:\n  - \"grace=6s\"\n\
-             memory_mb: {memory_mb}\ndescriptors: {descriptors}\n",
-        );
-        let path = directory.path().join("front-0.yaml");
-        std::fs::write(&path, settings).expect("a settings file");
-        let (gateway, _) = support::start_gateway(&path.display().to_string());
+        let (gateway, _) = start_gateway(store_address, &directory, memory_mb, descriptors);
         let cluster = Self {
             gateway,
             memory_mb,
             descriptors,
+            store: store_address,
             _others: others,
             _directory: directory,
             _turn: turn,
@@ -92,12 +89,44 @@
         cluster
     }
 
-    /// Checks that the peak memory is at most three quarters of the machine's.
     fn check_memory(&self) {
-        let peak = self.gateway.peak_memory_mb();
-        println!("peak {peak} MB");
-        let limit = self.memory_mb / 4 * 3;
-        assert!(peak <= limit, "{peak} MB, at most {limit} MB are allowed");
+        check_memory(&self.gateway, self.memory_mb);
+    }
+
+    /// Announces the only server of `avisos`, which sends one text and then another without an end, whatever it is asked
+    /// for, and waits until it gets requests of callers.
+    fn add_endless_server(&self, start: &'static str, rest: &'static str) {
+        let is_reached = Arc::new(AtomicBool::new(false));
+        let is_reached_by = Arc::clone(&is_reached);
+        let address = start_raw_server(move |stream, ids| {
+            let Some(id) = ids.next() else {
+                return;
+            };
+            is_reached_by.fetch_or(!id.is_empty(), Ordering::Relaxed);
+            let batch = rest.repeat((16 << 10) / rest.len() + 1);
+            let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+            while is_open {
+                is_open = stream.write_all(batch.as_bytes()).is_ok();
+            }
+        });
+        let entry = serde_json::json!({
+            "service": "avisos", "address": address.to_string(), "zone": "zone-a", "version": "v1", "slots": 1000,
+            "state": "ready", "cold_left": "0ms", "seq": 1, "born": unix_ms(),
+        });
+        let value = entry.to_string();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let append = append_keyed_record(self.store, "keyed.servers", "endless", value.as_bytes());
+        runtime
+            .expect("a runtime")
+            .block_on(append)
+            .expect("an accepted record");
+        wait_for("the server to get a request", || {
+            let mut stream = TcpStream::connect(self.gateway.address).expect("a connection");
+            let text = format!("{}\r\n", head("GET", "/avisos/7"));
+            stream.write_all(text.as_bytes()).expect("a request");
+            std::thread::sleep(Duration::from_millis(200));
+            is_reached.load(Ordering::Relaxed).then_some(())
+        });
     }
 
     /// Waits until an ordinary request is served.
@@ -146,14 +175,42 @@
     }
 }
 
+/// Checks that the peak memory of a gateway is at most three quarters of its machine's.
+fn check_memory(gateway: &Process, memory_mb: usize) {
+    let peak = gateway.peak_memory_mb();
+    println!("peak {peak} MB");
+    let limit = memory_mb / 4 * 3;
+    assert!(peak <= limit, "{peak} MB, at most {limit} MB are allowed");
+}
+
+/// Starts a gateway on a small machine; returns the address of its readiness check as well.
+fn start_gateway(
+    store: SocketAddr,
+    directory: &TempDir,
+    memory_mb: usize,
+    descriptors: usize,
+) -> (Process, SocketAddr) {
+    let any = "127.0.0.1:0";
+    let settings = format!(
+        "host: front-0\nzone: zone-a\nlisten:\n  callers: {any}\n  ready: {any}\n  peers: {any}\n  \
+         metrics: {any}\nstore: {store}\nbounds:\n  - \"grace=6s\"\n\
+         memory_mb: {memory_mb}\ndescriptors: {descriptors}\n",
+    );
+    let path = directory.path().join("front-0.yaml");
+    std::fs::write(&path, settings).expect("a settings file");
+    support::start_gateway(&path.display().to_string())
+}
+
 fn publish(store: &str, directory: &TempDir) {
-    let route = |name: &str, kind: &str| {
+    let route = |name: &str, kind: &str, service: &str| {
         serde_json::json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout": "10s", "target_latency": "2s", "service": "renovaciones", "max_attempts": 2})
+            "timeout": "10s", "target_latency": "2s", "service": service, "max_attempts": 2})
     };
     let configuration = serde_json::json!({
-        "version": "00000001", "routes": [route("renovaciones", "unsafe"), route("padrones", "download")],
-        "services": [{"name": "renovaciones", "health_path": "/health", "max_connections": 1000}],
+        "version": "00000001", "routes": [route("renovaciones", "unsafe", "renovaciones"),
+            route("padrones", "download", "renovaciones"), route("avisos", "safe", "avisos")],
+        "services": [{"name": "renovaciones", "health_path": "/health", "max_connections": 1000},
+            {"name": "avisos", "health_path": "/health", "max_connections": 1000}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": BODY_MAX, "header_timeout": "3s", "idle_timeout": "15s"},
     });
     let path = directory.path().join("configuration.json");
@@ -302,3 +359,68 @@
         stream.read_exact(&mut [0])
     });
 }
+
+/// Guards against memory that grows with the number of requests at a server whose heads have no end.
+#[test]
+fn heads_of_servers_without_an_end_stay_within_memory() {
+    for (start, rest) in [
+        ("HTTP/1.1 200 OK\r\n", "X-More: header\r\n"),
+        ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+    ] {
+        let mut cluster = Cluster::start();
+        cluster.add_endless_server(start, rest);
+        cluster.check_crowd(READER_CROWD, |stream| {
+            stream.write_all(format!("{}\r\n", head("GET", "/avisos/7")).as_bytes())?;
+            stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+            stream.read_exact(&mut [0])
+        });
+    }
+}
+
+/// Guards against memory that grows with the number of callers that don't read bodies without an end, in whatever
+/// framing.
+#[test]
+fn bodies_of_servers_without_an_end_stay_within_memory() {
+    const START: &str = "HTTP/1.1 200 OK\r\nX-Ragworthub-Request-Id: r-1\r\nX-Ragworthub-Response-Signature: raw\r\n";
+    for (framing, rest) in [
+        ("\r\n", "body without an end "),
+        ("Transfer-Encoding: chunked\r\n\r\n", "1\r\nr\r\n"),
+    ] {
+        let mut cluster = Cluster::start();
+        cluster.add_endless_server(format!("{START}{framing}").leak(), rest);
+        cluster.check_crowd(READER_CROWD, |stream| {
+            stream.write_all(format!("{}\r\n", head("GET", "/avisos/7")).as_bytes())?;
+            stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+            stream.read_exact(&mut [0])
+        });
+    }
+}
+
+/// Guards against memory that grows with what the store sends in place of its responses.
+#[test]
+fn bodies_of_the_store_without_an_end_stay_within_memory() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let directory = TempDir::new().expect("a temporary directory");
+    let calls = Arc::new(AtomicUsize::new(0));
+    let calls_seen = Arc::clone(&calls);
+    let store = start_raw_server(move |stream, ids| {
+        if ids.next().is_none() {
+            return;
+        }
+        let batch = "1\r\nr\r\n".repeat(4 << 10);
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+        while is_open {
+            is_open = stream.write_all(batch.as_bytes()).is_ok();
+        }
+        calls_seen.fetch_add(1, Ordering::Relaxed);
+    });
+    let (mut gateway, ready) = start_gateway(store, &directory, MACHINE_MB, DESCRIPTORS_MAX);
+    wait_for("the gateway to close connections to the store", || {
+        (calls.load(Ordering::Relaxed) >= 12).then_some(())
+    });
+    let probe = b"GET /ready HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
+    assert_eq!(exchange(ready, probe), 503);
+    assert!(gateway.is_running(), "the gateway has ended");
+    check_memory(&gateway, MACHINE_MB);
+}
