Find a second body length behind empty lines

Cause: empty lines before a request, which the HTTP library skips, were taken for the end of the head that a connection keeps. The head itself was then neither searched for a second body length nor counted against the memory budget, so a request with Content-Length and Transfer-Encoding was served.

Change: line breaks before the first byte of a head are skipped here as well.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -148,6 +148,14 @@
             return true;
         }
         let mut head = self.0.head.borrow_mut();
+        // The HTTP library skips empty lines before a head.
+        let is_line_break = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let skipped = if head.is_empty() {
+            received.iter().take_while(|byte| is_line_break(byte)).count()
+        } else {
+            0
+        };
+        let received = &received[skipped..];
         let room = HEAD_MAX_BYTES.saturating_sub(head.len());
         let kept = &received[..received.len().min(room)];
         // The HTTP library buffers the same bytes.
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -397,6 +397,25 @@
     assert_eq!(cluster.run_count("r-1"), 0);
 }
 
+/// Guards against request smuggling behind empty lines that arrive before the head and were taken for its end.
+#[test]
+fn second_body_length_after_empty_lines_is_found() {
+    let cluster = Cluster::start(1);
+    let mut stream = TcpStream::connect(cluster.gateways[0].address).expect("a connection");
+    stream.write_all(b"\r\n\r\n").expect("empty lines");
+    // Lets the gateway read the lines before the head.
+    std::thread::sleep(Duration::from_millis(300));
+    let text = format!(
+        "POST /renovaciones/7 HTTP/1.1\r\nHost: {HOST_HEADER}\r\nX-Ragworthub-Request-Id: r-1\r\n\
+         Content-Length: 5\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).expect("a request");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("a response");
+    assert!(response.starts_with("HTTP/1.1 400 "), "{response}");
+    assert_eq!(cluster.run_count("r-1"), 0);
+}
+
 /// Guards against a path with a broken percent escape that reaches a server.
 #[test]
 fn a_request_with_a_broken_percent_escape_is_rejected() {
