Reject a listing that goes on after an empty page

Cause: a page of the store without records that says that more follow ended the listing as if it were complete. What was missing then counted as removed: a host dropped the upstreams of the later pages, and one that started without the page of the configuration answered 503 until the next version.

Change: such a listing fails and is tried again after the backoff, as if a page were missing.

Measured: listing_with_an_empty_page_fails failed before with an empty listing as the result. Not seen at a real store.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -194,7 +194,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store doesn't return every page, repeats one, or exceeds a limit on the listing.
+    /// Fails if the store doesn't return every page, repeats one, says that more follow an empty one, or exceeds a limit on the listing.
     pub(crate) async fn list(&self, topic: &str) -> Result<Listing, StoreError> {
         let mut records = Vec::new();
         let mut first_end = None;
@@ -212,7 +212,11 @@
             // Pages aren't a consistent snapshot, so records written since the first page are read again.
             let end = *first_end.get_or_insert(page.end_offset);
             let last = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
-            if page.has_more && !last.is_empty() && last == after {
+            if page.has_more && last.is_empty() {
+                let text = format!("the listing of {topic} goes on after {after:?}, but the page there is empty");
+                return Err(StoreError::Unknown(text));
+            }
+            if page.has_more && last == after {
                 return Err(self.exceeded_limit(format!("the listing of {topic} repeats the page up to key {last:?}")));
             }
             after = last;
@@ -231,7 +235,7 @@
                     value: Some(value.into()),
                 });
             }
-            if !page.has_more || after.is_empty() {
+            if !page.has_more {
                 return Ok(Listing {
                     next: Offset(end),
                     records,
--- a/src/platform/tests/endless.rs
+++ b/src/platform/tests/endless.rs
@@ -63,6 +63,18 @@
     assert_eq!(calls, 2);
 }
 
+/// Guards against taking a part of a topic for all of it, and so dropping the upstreams of the other part, because the store
+/// sends an empty page and says that more follow.
+#[tokio::test]
+async fn listing_with_an_empty_page_fails() {
+    for full_pages in [0, 2] {
+        let keys = |call| (call < full_pages).then(|| format!("k-{call}"));
+        let (listed, calls) = Box::pin(list_pages(|call| page(keys(call).as_slice(), "", call))).await;
+        assert!(listed.is_err(), "{listed:?}");
+        assert_eq!(calls, full_pages + 1);
+    }
+}
+
 /// Guards against a listing that goes on for ever with ever new keys.
 #[tokio::test]
 async fn listing_with_pages_without_end_fails() {
