Check in the test of a stalled body that the stall ended the request

Cause: stalled_body_is_refused_with_a_status_that_permits_a_retry slept for 2 s after it had published a timeout of 60 s. On a host that reads the configuration later, the former timeout of 2 s ends the request in the same way, and the test passes without a stall.

Change: the test waits until a route that the same configuration moves is served, and checks that the request took 9 s or more.

--- a/standins/tests/gateway/rejections.rs
+++ b/standins/tests/gateway/rejections.rs
@@ -130,14 +130,21 @@
 #[test]
 fn stalled_body_is_refused_with_a_status_that_permits_a_retry() {
     let cluster = Cluster::start(1);
-    publish(&cluster, "00000002", &[("\"timeout\": \"2s\"", "\"timeout\": \"60s\"")]);
-    // Longer than hosts take to read a configuration.
-    std::thread::sleep(Duration::from_secs(2));
+    // The moved route shows that the configuration is in force.
+    let changes = [("\"timeout\": \"2s\"", "\"timeout\": \"60s\""), ("/flotas/", "/moved/")];
+    publish(&cluster, "00000002", &changes);
+    wait_for("the timeout to be in force", || {
+        (cluster.call(0, "GET", "/moved/1", "moved", None).status == 200).then_some(())
+    });
+    let started = Instant::now();
     let mut stream = connect(&cluster);
     let text = head("stalled", "Content-Length: 10\r\n\r\n01234");
     stream.write_all(text.as_bytes()).expect("a part of a request");
     let response = read_response(&mut stream);
     check_late(&cluster, "stalled", &response);
+    // Not the former timeout of 2 s, which would end the request in the same way.
+    let waited = started.elapsed();
+    assert!(waited >= Duration::from_secs(9), "{waited:?}");
 }
 
 /// Guards against a body that is invalid, or that the caller has ended, and for which the caller is told to come back.
