Don't take an upstream for ended because its health response is too large

Cause: after a broken connection, a health check that got no response counts as evidence that the upstream has ended, and makes suspects of the requests that ran there; three such ends block a request with 502. A response beyond a limit counted as none.

Change: a response beyond a limit is no evidence of an end.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -226,8 +226,8 @@
     response: Option<&CheckResult>,
 ) -> Option<&'static str> {
     match response {
-        // The entry of an upstream that leaves may be gone before the upstream.
-        None => None,
+        // The entry of an upstream that leaves may be gone before the upstream. One whose response exceeds a limit runs.
+        None | Some(Err(CallError::TooLarge(_))) => None,
         Some(Ok(response)) => {
             let instance = response.headers().get(INSTANCE);
             if instance.is_some_and(|name| name.as_bytes() != upstream.as_str().as_bytes()) {
