Say in plain terms which statuses reject a request

Cause: a test module, a log line and comments spoke of answers that blame callers.

Change: the module is statuses, the log line of an unsigned 3xx or 4xx says that it rejects the request, and pages and test names follow.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,7 +240,7 @@
 
 /// Reports whether a response may be forwarded as the upstream's own.
 ///
-/// Without a signature only a failure that neither blames the caller nor promises that the request has not run may be: a
+/// Without a signature only a failure that neither rejects the request nor promises that the request has not run may be: a
 /// caller may treat it like a 502 of this host.
 fn is_trusted(status: StatusCode, headers: &HeaderMap) -> bool {
     if !headers.contains_key(SIGNATURE) {
@@ -299,7 +299,7 @@
         if status.is_redirection() || status.is_client_error() {
             // Doesn't count as a failure: the requests of one caller must not take an upstream from the others.
             guard.end_run(RunEnd::Complete);
-            warn!(gateway.log, "response without a signature blames the caller"; "upstream" => %upstream,
+            warn!(gateway.log, "unsigned response that rejects the request"; "upstream" => %upstream,
                 "request" => ctx.id.to_str().unwrap_or_default(), "status" => status.as_u16());
         } else {
             guard.end_run(RunEnd::Broken);
--- a/standins/tests/gateway/main.rs
+++ b/standins/tests/gateway/main.rs
@@ -1,11 +1,11 @@
 //! Tests gateways as real processes between an ordinary HTTP client and the stand-ins.
 
-mod blame;
 mod crashes;
 mod directives;
 mod endless;
 mod hostile;
 mod rejections;
+mod statuses;
 mod stops;
 #[allow(dead_code, reason = "each test program uses a part of the module")]
 mod support;
--- a/standins/tests/gateway/blame.rs
+++ b/standins/tests/gateway/statuses.rs
@@ -31,7 +31,7 @@
 /// Guards against a status of an upstream that didn't sign it, which a caller takes for the gateway's own: a 3xx or 4xx
 /// ends the caller's retries, and 408, 429 and 503 promise that the request has not run.
 #[test]
-fn unsigned_status_neither_blames_nor_promises() {
+fn unsigned_status_neither_rejects_nor_promises() {
     let cluster = start_with_raw_server(|stream, ids| {
         for id in ids {
             if stream.write_all(respond(&id).as_bytes()).is_err() {
@@ -145,7 +145,7 @@
 /// Guards against telling callers that a route doesn't exist, or sending their requests to the pool of a shorter prefix,
 /// because the gateway can't use the route's entry.
 #[test]
-fn unusable_route_does_not_blame_its_callers() {
+fn unusable_route_is_not_the_callers_fault() {
     let cluster = Cluster::start(1);
     publish(&cluster, 2, |configuration| {
         let routes = configuration["routes"].as_array_mut().expect("routes");
@@ -194,7 +194,7 @@
 
 /// Guards against a 404 for a route of a newer configuration that the gateway can't read as a whole.
 #[test]
-fn unreadable_configuration_does_not_blame_callers_of_its_routes() {
+fn unreadable_configuration_is_not_the_callers_fault() {
     let cluster = Cluster::start(1);
     assert_eq!(get(&cluster, "/new/1").status, 404);
     publish(&cluster, 2, |configuration| configuration["limits"] = Value::Null);
@@ -278,7 +278,7 @@
 /// Guards against a 400 for a request without a key because the operators' split sends it to a pool that needs one, and
 /// against moving it to the other pool, which would change the shares.
 #[test]
-fn split_between_pools_with_and_without_keys_does_not_blame_its_callers() {
+fn split_between_pools_with_and_without_keys_is_not_the_callers_fault() {
     let cluster = Cluster::start(1);
     publish(&cluster, 2, |configuration| {
         let split = json!([{"service": "placas", "weight": 1}, {"service": "renovaciones", "weight": 1}]);
