Use a route whatever its name is

Cause: names may have letters, digits, '-', '_' and '.', at most 128 characters.

Change: a route's name that isn't valid is changed and gets its hash appended. Names of services are links and stay as strict.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -47,7 +47,8 @@
 
 #[derive(Deserialize)]
 struct WireRoute {
-    name: RouteName,
+    #[serde(default, deserialize_with = "read_or_default")]
+    name: String,
     host: String,
     path_prefix: String,
     #[serde(default, deserialize_with = "read_or_default")]
@@ -361,7 +362,7 @@
         None => convert_split(wire.traffic_split),
     };
     Route {
-        name: wire.name,
+        name: RouteName::from_label(&wire.name),
         host: wire.host.strip_suffix('.').unwrap_or(&wire.host).to_ascii_lowercase(),
         prefix: wire.path_prefix,
         idempotency: match wire.kind {
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -41,6 +41,16 @@
     assert!(catalog.check(None).is_empty(), "{:?}", catalog.check(None));
 }
 
+/// Guards against a route whose requests are rejected because of its name, which is only a label.
+#[test]
+fn route_with_an_unusual_name_is_used() {
+    let text = CONFIGURATION.replacen("\"name\": \"renovaciones\"", "\"name\": \"renovación / anual\"", 1);
+    assert_ne!(text, CONFIGURATION);
+    let Decoded { catalog, faults, .. } = decode_catalog(Offset(4), text.as_bytes()).expect("a configuration");
+    assert!(catalog.find_route("licencias.example", "/renovaciones/7").is_some());
+    assert!(faults.is_empty(), "{faults:?}");
+}
+
 /// Guards against a configuration that doesn't come into force because one of its entries has something that this build
 /// doesn't know: no request of any route was served on such a day.
 #[test]
--- a/src/types/ids.rs
+++ b/src/types/ids.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::{EncodeLabelValue, LabelValueEncoder};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Length limit of names; a longer name is a mistake or an attack.
 const NAME_MAX_BYTES: usize = 128;
@@ -26,6 +27,10 @@
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub(crate) struct ParseValueError(pub(crate) String);
 
+fn is_name_character(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
+}
+
 fn check_name(text: &str) -> Result<(), ParseNameError> {
     if text.is_empty() {
         return Err(ParseNameError::Empty);
@@ -33,8 +38,7 @@
     if text.len() > NAME_MAX_BYTES {
         return Err(ParseNameError::TooLong(text.len()));
     }
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    match text.chars().find(|&c| !allowed(c)) {
+    match text.chars().find(|&c| !is_name_character(c)) {
         Some(c) => Err(ParseNameError::Character(c)),
         None => Ok(()),
     }
@@ -105,6 +109,19 @@
     UpstreamName;
 }
 
+impl RouteName {
+    /// Returns the name of a route that is named by any text. A text that isn't a valid name is changed and gets its hash
+    /// appended: a route's name is a label, and its requests are served whatever it is.
+    pub(crate) fn from_label(text: &str) -> Self {
+        text.parse().unwrap_or_else(|_| {
+            let hash = format!("{:016x}", xxh3_64(text.as_bytes()));
+            let kept = text.chars().take(NAME_MAX_BYTES - hash.len() - 1);
+            let kept: String = kept.map(|c| if is_name_character(c) { c } else { '_' }).collect();
+            Self(format!("{kept}-{hash}").into())
+        })
+    }
+}
+
 macro_rules! number {
     ($($(#[$doc:meta])* $name:ident;)+) => {$(
         $(#[$doc])*
--- a/src/types/tests.rs
+++ b/src/types/tests.rs
@@ -1,4 +1,6 @@
-use super::{HostName, Reason, Verdict};
+use std::collections::BTreeSet;
+
+use super::{HostName, Reason, RouteName, Verdict};
 
 /// Guards against accepting a name that is empty, too long, or has a character that would break headers,
 /// metric labels or YAML.
@@ -21,3 +23,15 @@
         assert_eq!(v.as_str().parse(), Ok(v));
     }
 }
+
+/// Guards against a route that can't be used because of its name, and against two routes that share a label.
+#[test]
+fn any_text_names_a_route() {
+    assert_eq!(RouteName::from_label("r-1").as_str(), "r-1");
+    let texts = ["", "licencias / móviles", "licencias : móviles", &"x".repeat(500)];
+    let names: BTreeSet<RouteName> = texts.iter().map(|text| RouteName::from_label(text)).collect();
+    assert_eq!(names.len(), texts.len());
+    for name in names {
+        assert_eq!(name.as_str().parse(), Ok(name.clone()));
+    }
+}
