Keep an unusable prefix from taking paths of other routes

Change: such a prefix is about whole segments of a path.

Measured: an_unusable_route_takes_part_in_the_search with /x/vw/1 failed before (Unusable instead of the route /x/) and passes now, with all 156 unit tests.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -178,10 +178,7 @@
         });
         let covers = |route: &&UnusableRoute| {
             route.host.as_ref().is_none_or(|known| *known == host)
-                && route
-                    .prefix
-                    .as_ref()
-                    .is_none_or(|known| path.starts_with(known.as_str()))
+                && route.prefix.as_ref().is_none_or(|known| covers_path(known, path))
         };
         let mut is_unsure = false;
         for route in self.unusable_routes.iter().filter(covers) {
@@ -200,6 +197,12 @@
     }
 }
 
+/// Reports whether a path begins with a prefix that may lack its last slash.
+fn covers_path(prefix: &str, path: &str) -> bool {
+    let rest = path.strip_prefix(prefix);
+    rest.is_some_and(|rest| prefix.ends_with('/') || rest.is_empty() || rest.starts_with('/'))
+}
+
 /// Returns the lower-case name of a host without its port and the dot that marks a name as complete.
 pub(crate) fn host_name(host: &str) -> String {
     let is_port = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -107,6 +107,7 @@
             unusable(Some("a.example"), Some("/")),
             unusable(Some("b.example"), None),
             unusable(None, Some("/z/")),
+            unusable(Some("b.example"), Some("/x/v")),
         ],
         ..catalog(vec![route("a.example", "/x/"), route("b.example", "/x/")])
     };
@@ -121,6 +122,10 @@
     assert_eq!(find("b.example", "/w"), "Unsure");
     assert_eq!(find("c.example", "/z/1"), "Unsure");
     assert_eq!(find("c.example", "/w"), "Missing");
+    // A prefix without its last slash is about whole segments of paths.
+    assert_eq!(find("b.example", "/x/v/1"), "Unusable");
+    assert_eq!(find("b.example", "/x/v"), "Unusable");
+    assert_eq!(find("b.example", "/x/vw/1"), "/x/");
 }
 
 /// Guards against a 404 from a host that doesn't know the newest configuration, and against a 503 from one that does.
