--- a/src/catalog/currency.rs
+++ b/src/catalog/currency.rs
@@ -1,8 +1,8 @@
-//! How well a host knows the configuration that operators have published.
+//! Whether a host knows the newest configuration of the operators.
 
 use std::time::Duration;
 
-/// What a host knows about the currency of its configuration.
+/// What decides whether the configuration of a host is current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Currency {
     /// The store holds a newer configuration that the host can't decode, or newer records that it hasn't read.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,8 +240,8 @@
 
 /// Reports whether a response may be forwarded as the upstream's own.
 ///
-/// Without a signature only a failure that neither rejects the request nor promises that the request has not run may be: a
-/// caller may treat it like a 502 of this host.
+/// Without a signature, only a failure that neither rejects the request nor promises that it has not run may be forwarded:
+/// callers treat it like a 502 of this host.
 fn is_trusted(status: StatusCode, headers: &HeaderMap) -> bool {
     if !headers.contains_key(SIGNATURE) {
         return status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE;
--- a/src/gateway/rejections.rs
+++ b/src/gateway/rejections.rs
@@ -1,4 +1,4 @@
-//! Log lines of requests that are rejected because of what the caller sent, with what shows whether the caller is the cause.
+//! Log lines of rejected requests, with the details that show whether the caller is the cause.
 
 use std::time::Duration;
 
@@ -48,7 +48,8 @@
     let now = Instant::now();
     warn!(gateway.log, "no route matches"; "request" => id.to_str().unwrap_or_default(),
         "host_header" => truncate(host), "path" => truncate(path), "configuration" => %catalog.version,
-        "reason" => reason.as_str(), "in_force_ms" => gateway.catalog_changed.get().map(|at| millis(now.saturating_duration_since(at))),
+        "reason" => reason.as_str(),
+        "in_force_ms" => gateway.catalog_changed.get().map(|at| millis(now.saturating_duration_since(at))),
         "store_age_ms" => gateway.feed.schedule.get().age(now).map(millis));
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -194,7 +194,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store doesn't return every page, repeats one, says that more follow an empty one, or exceeds a limit on the listing.
+    /// Fails if the store doesn't return every page, repeats one, says that more follow an empty one, or exceeds a limit on
+    /// the listing.
     pub(crate) async fn list(&self, topic: &str) -> Result<Listing, StoreError> {
         let mut records = Vec::new();
         let mut first_end = None;
