Report a failure of a review script itself as "couldn't run"

Cause: Python exits with 1 after an unexpected exception, which is the status of a broken rule.

Change: the runner of the cases catches it and exits with 2.

--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -263,8 +263,8 @@
         verdict = play(platform, record)
         status = 1 if verdict else 0
         record.write(f"rule broken: {verdict}" if verdict else "rule held")
-    except CannotRun as error:
-        record.write(f"couldn't run: {error}")
+    except Exception as error:  # A fault of the script itself mustn't look like a broken rule.
+        record.write(f"couldn't run: {error!r}")
         status = 2
     finally:
         platform.close()
